--- /dev/null
+++ b/cmd/sequoiactl/inspect.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/sequoiapick/sequoiapick/internal/console"
+	"github.com/sequoiapick/sequoiapick/internal/version"
+	"github.com/sequoiapick/sequoiapick/pkg/operator"
+)
+
+func newDescribe() *ffcli.Command {
+	return newCommand("describe", "", "prints the configuration in force",
+		func(ctx context.Context, client operator.OperatorClient, _ []string) error {
+			reply, err := client.Describe(ctx, &operator.DescribeRequest{})
+			if err != nil {
+				return err
+			}
+			return console.Print(os.Stdout, reply)
+		})
+}
+
+func newStatus() *ffcli.Command {
+	return newCommand("status", "", "prints the state of every daemon",
+		func(ctx context.Context, client operator.OperatorClient, _ []string) error {
+			reply, err := client.Status(ctx, &operator.StatusRequest{})
+			if err != nil {
+				return err
+			}
+			return console.Print(os.Stdout, reply)
+		})
+}
+
+func newExplain() *ffcli.Command {
+	return newCommand("explain", "REQUEST", "prints the decisions taken for one request",
+		func(ctx context.Context, client operator.OperatorClient, args []string) error {
+			id, err := one(args, "a request ID")
+			if err != nil {
+				return err
+			}
+			reply, err := client.Explain(ctx, &operator.ExplainRequest{RequestID: id})
+			if err != nil {
+				return err
+			}
+			return console.Print(os.Stdout, reply)
+		})
+}
+
+func newVersion() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "version",
+		ShortUsage: "sequoiactl version",
+		ShortHelp:  "prints the version",
+		Exec: func(context.Context, []string) error {
+			fmt.Println("sequoiactl", version.String())
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/sequoiactl/main.go
@@ -0,0 +1,68 @@
+// Command sequoiactl is the operators' client.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/sequoiapick/sequoiapick/internal/console"
+	"github.com/sequoiapick/sequoiapick/internal/version"
+	"github.com/sequoiapick/sequoiapick/pkg/operator"
+)
+
+const envPrefix = "SEQUOIACTL"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	root := &ffcli.Command{
+		Name:       "sequoiactl",
+		ShortUsage: "sequoiactl <command> [flags]",
+		ShortHelp:  "configures and inspects sequoiapick (" + version.String() + ")",
+		Subcommands: []*ffcli.Command{
+			newApply(), newDescribe(), newStatus(), newOut(), newIn(), newExplain(), newOrder(), newVersion(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	err := root.ParseAndRun(ctx, os.Args[1:])
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "sequoiactl:", err)
+	os.Exit(1)
+}
+
+// newCommand returns a command that calls a daemon with its arguments.
+func newCommand(name, usage, help string, call func(ctx context.Context, client operator.OperatorClient, args []string) error) *ffcli.Command {
+	var target console.Target
+	fs := flag.NewFlagSet("sequoiactl "+name, flag.ContinueOnError)
+	target.Register(fs)
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "sequoiactl " + name + " [flags] " + usage,
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, args []string) error {
+			return target.Call(ctx, func(ctx context.Context, client operator.OperatorClient) error {
+				return call(ctx, client, args)
+			})
+		},
+	}
+}
+
+// one returns the only argument.
+func one(args []string, what string) (string, error) {
+	if len(args) != 1 {
+		return "", fmt.Errorf("got %d arguments, expected one: %s", len(args), what)
+	}
+	return args[0], nil
+}
--- /dev/null
+++ b/cmd/sequoiapick/main.go
@@ -0,0 +1,32 @@
+// Command sequoiapick is the daemon that runs on every entry host.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	root := &ffcli.Command{
+		Name:        "sequoiapick",
+		ShortUsage:  "sequoiapick <serve|version> [flags]",
+		ShortHelp:   "serves multi-stage model pipelines",
+		Subcommands: []*ffcli.Command{newServe(), newVersion()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	err := root.ParseAndRun(ctx, os.Args[1:])
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "sequoiapick:", err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/internal/daemon/member.go
@@ -0,0 +1,295 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/link"
+	"github.com/sequoiapick/sequoiapick/internal/membership"
+	"github.com/sequoiapick/sequoiapick/internal/peer/peerpb"
+	"github.com/sequoiapick/sequoiapick/internal/platform"
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+)
+
+const memberPrefix = "member/"
+
+// Timings of the membership tasks.
+const (
+	adoptionInterval = 200 * time.Millisecond
+	sweepInterval    = 10 * time.Second
+	pauseTick        = 250 * time.Millisecond
+	// pauseLimit is the gap between two ticks from which the process counts as paused.
+	pauseLimit = time.Second
+)
+
+// How the reads of the platform's table are shared.
+const (
+	// pollers is the number of daemons of a data centre that poll at each interval.
+	pollers = 2
+	// backupEvery is the number of intervals between the polls of the others.
+	backupEvery = 10
+	// maxDataCentres bounds the views read in one scan.
+	maxDataCentres = 100
+	// reportSubset bounds the targets of each data centre whose reports a daemon reads.
+	reportSubset = 16
+	joinTries    = 5
+)
+
+// adoptedState is what this daemon has told the members of its epoch.
+type adoptedState struct {
+	epoch uint64
+	busy  map[string]int
+	told  map[string]bool
+	turn  int
+}
+
+// pollInTurn polls if it is this daemon's turn.
+func (d *Daemon) pollInTurn(ctx context.Context) error {
+	d.adopted.turn++
+	if !d.poller() && d.adopted.turn%backupEvery != 0 && d.registry.Loaded() {
+		return nil
+	}
+	d.poll(ctx)
+	return nil
+}
+
+// poller reports whether this daemon is among those that poll for its data centre; one
+// that isn't a member yet polls in order to join.
+func (d *Daemon) poller() bool {
+	view := d.fleet.View()
+	if _, ok := view.Member(d.incarnation); !ok {
+		return true
+	}
+	for i, m := range view.Ranked("poller") {
+		if m.Incarnation == d.incarnation {
+			return i < pollers
+		}
+	}
+	return false
+}
+
+// poll reads the configuration, the memberships and the host list.
+func (d *Daemon) poll(ctx context.Context) {
+	for _, read := range []struct {
+		name string
+		call func(context.Context) error
+	}{
+		{"configuration", d.registry.Sync},
+		{"membership", d.readViews},
+		{"hosts", d.readHosts},
+	} {
+		if err := read.call(ctx); err != nil {
+			d.log.Emit(event.LoopFailed, "Task", read.name, "Reason", err.Error())
+		}
+	}
+}
+
+// readViews adopts the newest memberships and joins the own one.
+func (d *Daemon) readViews(ctx context.Context) error {
+	rows, err := d.platform.Scan(ctx, memberPrefix, "", maxDataCentres)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		var view membership.View
+		if err := json.Unmarshal(row.Value, &view); err != nil {
+			return problem.New(problem.Internal, "membership row: %v", err)
+		}
+		d.adopt(view)
+	}
+	if _, ok := d.fleet.View().Member(d.incarnation); ok || d.stopping.Load() {
+		return nil
+	}
+	return d.changeView(ctx, func(view membership.View) (membership.View, bool) {
+		return view.Join(d.me())
+	})
+}
+
+// changeView changes the own data centre's row; every writer reads it anew.
+func (d *Daemon) changeView(ctx context.Context, change func(membership.View) (membership.View, bool)) error {
+	key := memberPrefix + d.Settings.DataCentre
+	for range joinTries {
+		row, found, err := d.platform.Get(ctx, key)
+		if err != nil {
+			return err
+		}
+		view := membership.View{DataCentre: d.Settings.DataCentre}
+		if found {
+			if err := json.Unmarshal(row.Value, &view); err != nil {
+				return problem.New(problem.Internal, "membership row: %v", err)
+			}
+		}
+		d.adopt(view)
+		next, changed := change(view)
+		if !changed {
+			return nil
+		}
+		value, err := json.Marshal(next)
+		if err != nil {
+			return problem.New(problem.Internal, "encode membership: %v", err)
+		}
+		_, err = d.platform.Commit(ctx, platform.Transaction{
+			Conditions: []platform.Condition{{Key: key, Revision: row.Revision}},
+			Writes:     []platform.Write{{Key: key, Value: value}},
+		})
+		if err == nil {
+			d.adopt(next)
+			return nil
+		}
+		if problem.Of(err) != problem.Conflict {
+			return err
+		}
+	}
+	return problem.New(problem.Conflict, "membership changed too often")
+}
+
+// adopt acts on a view if it is newer.
+func (d *Daemon) adopt(view membership.View) {
+	d.mu.Lock()
+	newer := view.Epoch > d.views[view.DataCentre].Epoch
+	if newer {
+		d.views[view.DataCentre] = view
+	}
+	d.mu.Unlock()
+	if !newer {
+		return
+	}
+	if view.DataCentre == d.Settings.DataCentre {
+		d.fleet.Adopt(d.incarnation, view)
+		d.log.Emit(event.MembershipAdopted, "Epoch", view.Epoch, "Members", len(view.Members))
+	}
+	d.changed()
+}
+
+// readHosts learns who is leaving and removes members whose hosts are gone.
+func (d *Daemon) readHosts(ctx context.Context) error {
+	hosts, err := d.platform.ListHosts(ctx)
+	if err != nil {
+		return err
+	}
+	leaving := map[string]bool{}
+	listed := map[string]bool{}
+	for _, h := range hosts {
+		listed[h.Name] = true
+		leaving[h.Name] = h.State == platform.Leaving
+	}
+	d.fleet.ListLeaving(d.registry.Document(), leaving)
+	if !d.poller() {
+		return nil
+	}
+	return d.changeView(ctx, func(view membership.View) (membership.View, bool) {
+		swept, changed := view.Sweep(listed)
+		if changed {
+			d.log.Emit(event.MemberSwept, "Epoch", swept.Epoch, "Members", len(swept.Members))
+		}
+		marked, listedAnew := swept.Mark(listed)
+		return marked, changed || listedAnew
+	})
+}
+
+// announceAdoption tells every member of this data centre the adopted epoch and what
+// is in flight to targets that others guard, until each has heard the newest.
+func (d *Daemon) announceAdoption(ctx context.Context) error {
+	view := d.fleet.View()
+	busy := d.fleet.Busy()
+	if d.adopted.epoch != view.Epoch || !maps.Equal(d.adopted.busy, busy) {
+		d.adopted.epoch = view.Epoch
+		d.adopted.busy = busy
+		d.adopted.told = map[string]bool{}
+	}
+	call := &peerpb.Call{Kind: &peerpb.Call_Adopted{Adopted: &peerpb.Adopted{
+		DataCentre:  view.DataCentre,
+		Host:        d.Settings.Host,
+		Incarnation: d.incarnation,
+		Epoch:       d.adopted.epoch,
+		Busy:        counts(d.adopted.busy),
+	}}}
+	type told struct {
+		incarnation string
+		err         error
+	}
+	pending := 0
+	results := make(chan told, len(view.Members))
+	for _, m := range view.Members {
+		if m.Incarnation == d.incarnation || d.adopted.told[m.Incarnation] {
+			continue
+		}
+		pending++
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, backgroundLimit)
+			defer cancel()
+			_, err := d.peers.Call(callCtx, m.PeerAddress, call)
+			results <- told{m.Incarnation, err}
+		}()
+	}
+	for range pending {
+		if r := <-results; r.err == nil {
+			d.adopted.told[r.incarnation] = true
+		}
+	}
+	return nil
+}
+
+func counts(busy map[string]int) map[string]int64 {
+	converted := make(map[string]int64, len(busy))
+	for name, n := range busy {
+		converted[name] = int64(n)
+	}
+	return converted
+}
+
+// readReports asks a subset of this data centre's targets for their reports.
+func (d *Daemon) readReports(ctx context.Context) error {
+	asked := 0
+	for _, contract := range d.registry.Document().Targets {
+		if contract.DataCentre != d.Settings.DataCentre || asked >= reportSubset {
+			continue
+		}
+		asked++
+		d.background(func(ctx context.Context) {
+			conn, err := d.links.Dial(ctx, contract)
+			if err != nil {
+				return
+			}
+			d.seen(contract.Name, conn)
+		})
+	}
+	return nil
+}
+
+func (d *Daemon) seen(name string, conn *link.Conn) {
+	seen := d.fleet.Observe(name, conn.Report)
+	if seen.TurnedCold {
+		d.log.Emit(event.TargetCold, "Target", name, "Incarnation", seen.Incarnation)
+	}
+	if seen.TurnedLeaving {
+		d.log.Emit(event.TargetLeaving, "Target", name, "Incarnation", seen.Incarnation)
+	}
+	if seen.TurnedCold || seen.TurnedLeaving {
+		d.Spread(name, seen)
+	}
+	d.links.Keep(conn)
+}
+
+func (d *Daemon) sweep(context.Context) error {
+	d.claims.Sweep()
+	return nil
+}
+
+// watchPauses notices that the process was paused and then reads the memberships at once.
+func (d *Daemon) watchPauses(ctx context.Context) error {
+	last := d.Clock.Now()
+	return d.every(pauseTick, "pause", func(ctx context.Context) error {
+		gap := d.Clock.Since(last)
+		last = d.Clock.Now()
+		if gap < pauseLimit {
+			return nil
+		}
+		d.log.Emit(event.PauseDetected, "Gap", gap.String())
+		d.poll(ctx)
+		return nil
+	})(ctx)
+}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,259 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/claim"
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/history"
+	"github.com/sequoiapick/sequoiapick/internal/idempotency"
+	"github.com/sequoiapick/sequoiapick/internal/link"
+	"github.com/sequoiapick/sequoiapick/internal/peer"
+	"github.com/sequoiapick/sequoiapick/internal/peer/peerpb"
+	"github.com/sequoiapick/sequoiapick/internal/request"
+	"github.com/sequoiapick/sequoiapick/internal/run"
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+)
+
+var _ peer.Handler = (*Daemon)(nil)
+
+// HandleCall implements peer.Handler.
+func (d *Daemon) HandleCall(ctx context.Context, call *peerpb.Call, send func(*peerpb.Reply) error) {
+	switch c := call.Kind.(type) {
+	case *peerpb.Call_Attempt:
+		d.metrics.PeerCall("Attempt")
+		d.handleAttempt(ctx, c.Attempt, send)
+	case *peerpb.Call_Submission:
+		d.metrics.PeerCall("Submission")
+		_ = send(d.handleSubmission(ctx, c.Submission))
+	default:
+		reply, err := d.handleControl(ctx, call)
+		if err != nil {
+			d.log.Emit(event.LoopFailed, "Task", "peer call", "Reason", err.Error())
+			return
+		}
+		_ = send(reply)
+	}
+}
+
+func (d *Daemon) handleControl(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error) {
+	switch c := call.Kind.(type) {
+	case *peerpb.Call_Digest:
+		d.metrics.PeerCall("Digest")
+		return d.handleDigest(c.Digest)
+	case *peerpb.Call_Changes:
+		d.metrics.PeerCall("Changes")
+		return acknowledge(d.takeIn(c.Changes, "peer"))
+	case *peerpb.Call_Adopted:
+		d.metrics.PeerCall("Adopted")
+		d.handleAdopted(c.Adopted)
+		return acknowledge(nil)
+	case *peerpb.Call_Notice:
+		d.metrics.PeerCall("Notice")
+		d.handleNotice(c.Notice)
+		return acknowledge(nil)
+	case *peerpb.Call_Handover:
+		d.metrics.PeerCall("Handover")
+		return acknowledge(d.handleHandover(c.Handover))
+	case *peerpb.Call_Probe:
+		status, err := json.Marshal(d.ownStatus())
+		return &peerpb.Reply{Kind: &peerpb.Reply_ProbeReply{ProbeReply: &peerpb.ProbeReply{Status: status}}}, err
+	case *peerpb.Call_History:
+		return d.handleHistory(c.History)
+	case *peerpb.Call_Fence:
+		return d.handleFence(ctx, c.Fence), nil
+	default:
+		return nil, problem.New(problem.Invalid, "unknown peer call %T", call.Kind)
+	}
+}
+
+func acknowledge(err error) (*peerpb.Reply, error) {
+	return &peerpb.Reply{Kind: &peerpb.Reply_Ack{Ack: &peerpb.Ack{Accepted: err == nil}}}, err
+}
+
+func (d *Daemon) handleAdopted(a *peerpb.Adopted) {
+	if a.DataCentre != d.Settings.DataCentre {
+		return
+	}
+	busy := make(map[string]int, len(a.Busy))
+	for name, n := range a.Busy {
+		busy[name] = int(n)
+	}
+	d.fleet.PeerAdopted(a.Incarnation, a.Epoch, busy)
+}
+
+func (d *Daemon) handleNotice(n *peerpb.Notice) {
+	if !d.firstSight(n.ID) {
+		return
+	}
+	d.fleet.Notice(n.Target, n.Incarnation, n.Cold, n.Leaving)
+	d.passOn(n)
+}
+
+// handleAttempt sends an attempt to a cold target as its guardian.
+func (d *Daemon) handleAttempt(ctx context.Context, a *peerpb.Attempt, send func(*peerpb.Reply) error) {
+	d.work.Add(1)
+	defer d.work.Done()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(a.BudgetMillis)*time.Millisecond)
+	defer cancel()
+	end := &peerpb.AttemptEnd{}
+	contract, ok := d.registry.Document().Targets[a.Target]
+	if !ok {
+		end.Failure, end.NotSent, end.Detail = string(problem.NotFound), true, "no such target here"
+		_ = send(&peerpb.Reply{Kind: &peerpb.Reply_AttemptEnd{AttemptEnd: end}})
+		return
+	}
+	result, err := d.runner.ServeAttempt(ctx, contract, a, func(text []byte) error {
+		return send(&peerpb.Reply{Kind: &peerpb.Reply_Part{Part: &peerpb.Part{Text: text}}})
+	})
+	end.Bytes = result.Bytes
+	end.Tokens = result.Tokens
+	if err != nil {
+		end.Failure = string(problem.Of(err))
+		end.Detail = problem.Detail(err)
+		end.NotSent = link.NotSent(err)
+	}
+	report := d.fleet.Status(contract).Report
+	end.Report = &peerpb.Report{
+		Incarnation: report.Incarnation,
+		Cold:        report.Cold,
+		Leaving:     report.Leaving,
+		Running:     int64(report.Running),
+		Queued:      int64(report.Queued),
+	}
+	_ = send(&peerpb.Reply{Kind: &peerpb.Reply_AttemptEnd{AttemptEnd: end}})
+}
+
+// handleSubmission runs or answers a keyed request whose key this daemon owns.
+func (d *Daemon) handleSubmission(ctx context.Context, s *peerpb.Submission) *peerpb.Reply {
+	d.work.Add(1)
+	defer d.work.Done()
+	outcome := d.resume(ctx, s)
+	return &peerpb.Reply{Kind: &peerpb.Reply_Answer{Answer: &peerpb.Answer{
+		Failure: string(outcome.Failure),
+		Detail:  outcome.Detail,
+		NotRun:  outcome.NotRun.Proven(),
+		Body:    outcome.Body,
+	}}}
+}
+
+func (d *Daemon) resume(ctx context.Context, s *peerpb.Submission) idempotency.Outcome {
+	document := d.registry.Document()
+	owner, ok := document.Accounts[s.Account]
+	if !ok {
+		return idempotency.Outcome{Failure: problem.NotFound, Detail: "no such account here"}
+	}
+	budget := time.Duration(s.BudgetMillis) * time.Millisecond
+	job := run.Job{
+		Request: request.Request{
+			ID:       s.Request,
+			Account:  s.Account,
+			Key:      s.Key,
+			Pipeline: s.Pipeline,
+			Tier:     s.Tier,
+			Input:    s.Input,
+			Deadline: d.Clock.Now().Add(budget),
+		},
+		Document: document,
+		Sends:    &request.Sends{},
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), budget)
+	defer cancel()
+	return d.claims.Resume(ctx, claim.Submission{
+		ID:          idempotency.ID{Account: s.Account, Key: s.Key},
+		Fingerprint: request.Fingerprint(s.Pipeline, s.Tier, s.Input),
+		Request:     s.Request,
+		Pipeline:    s.Pipeline,
+		Tier:        s.Tier,
+		Input:       s.Input,
+		Deadline:    job.Request.Deadline,
+		Run: func(ctx context.Context) idempotency.Outcome {
+			return d.admit(ctx, owner, job)
+		},
+	})
+}
+
+// findHistory returns a request's entry from the daemon that made its ID.
+func (d *Daemon) findHistory(ctx context.Context, id string) (history.Entry, error) {
+	if entry, ok := d.history.Of(id); ok {
+		return entry, nil
+	}
+	unknown := problem.New(problem.NotFound, "request %q", id)
+	m, ok := d.memberOf(request.Incarnation(id))
+	if !ok || m.Incarnation == d.incarnation {
+		return history.Entry{}, unknown
+	}
+	reply, err := d.peers.Call(ctx, m.PeerAddress, &peerpb.Call{Kind: &peerpb.Call_History{History: &peerpb.History{Request: id}}})
+	if err != nil {
+		return history.Entry{}, err
+	}
+	var entry history.Entry
+	if body := reply.GetHistoryReply().GetDecisions(); len(body) > 0 {
+		return entry, json.Unmarshal(body, &entry)
+	}
+	return entry, unknown
+}
+
+func (d *Daemon) handleHistory(h *peerpb.History) (*peerpb.Reply, error) {
+	reply := &peerpb.HistoryReply{}
+	if entry, ok := d.history.Of(h.Request); ok {
+		body, err := json.Marshal(entry)
+		if err != nil {
+			return nil, err
+		}
+		reply.Decisions = body
+	}
+	return &peerpb.Reply{Kind: &peerpb.Reply_HistoryReply{HistoryReply: reply}}, nil
+}
+
+// handOverKeys gives keys and kept answers to one successor. Only one is ever named,
+// since a second one could run what the first has been given.
+func handOverKeys(d *Daemon, ctx context.Context) error {
+	handover := d.claims.Seal()
+	successor, ok := d.successor()
+	if !ok {
+		return nil
+	}
+	entries, err := json.Marshal(handover)
+	if err != nil {
+		return err
+	}
+	call := &peerpb.Call{Kind: &peerpb.Call_Handover{Handover: &peerpb.Handover{Incarnation: d.incarnation, Entries: entries}}}
+	for range handoverTries {
+		callCtx, cancel := context.WithTimeout(ctx, backgroundLimit)
+		reply, err := d.peers.Call(callCtx, successor.PeerAddress, call)
+		cancel()
+		if err == nil && reply.GetAck().GetAccepted() {
+			d.noteHeirs(handover.Incarnations, successor.Incarnation)
+			d.log.Emit(event.KeysHandedOver, "Successor", successor.Host, "Entries", len(handover.Entries))
+			return nil
+		}
+	}
+	return nil
+}
+
+const handoverTries = 5
+
+func (d *Daemon) noteHeirs(incarnations []string, successor string) {
+	d.mu.Lock()
+	for _, incarnation := range incarnations {
+		d.heirs[incarnation] = successor
+	}
+	d.mu.Unlock()
+	d.changed()
+}
+
+func (d *Daemon) handleHandover(h *peerpb.Handover) error {
+	if d.stopping.Load() {
+		return problem.New(problem.Stopping, "the daemon is stopping")
+	}
+	var handover claim.Handover
+	if err := json.Unmarshal(h.Entries, &handover); err != nil {
+		return err
+	}
+	d.claims.Inherit(handover)
+	d.noteHeirs(handover.Incarnations, d.incarnation)
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,422 @@
+// Package fleet holds the targets as this daemon sees them: which incarnation is
+// warm, what is in flight, who is leaving, and, through the guardian's gate, whether
+// work may be sent to a target in a cold start.
+//
+// A target counts as cold until recent evidence from its present incarnation shows it
+// warm. A reset, a refusal, another incarnation or a report of a cold start makes it
+// cold at once.
+//
+// # Usage
+//
+//	f := &fleet.Fleet{Clock: clock}
+//	candidates := f.Candidates(document, "llm", dataCentre, out)
+//	switch d := f.Reserve(contract, local).(type) { ... }
+//	f.Release(contract.Name, d.Cold)
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/sequoiapick/sequoiapick/internal/catalog"
+	"github.com/sequoiapick/sequoiapick/internal/guardian"
+	"github.com/sequoiapick/sequoiapick/internal/latency"
+	"github.com/sequoiapick/sequoiapick/internal/membership"
+	"github.com/sequoiapick/sequoiapick/internal/router"
+	"github.com/sequoiapick/sequoiapick/pkg/target"
+)
+
+// How long evidence counts.
+const (
+	// WarmFor is the time for which evidence of a warm target counts.
+	WarmFor = 10 * time.Second
+	// SuspectFor is the time for which a failed target is avoided.
+	SuspectFor = time.Second
+	// FullFor is the time for which a guardian's refusal is taken as a full target.
+	FullFor = 100 * time.Millisecond
+)
+
+// Fleet is safe for concurrent use.
+type Fleet struct {
+	Clock clockwork.Clock
+
+	mu      sync.Mutex
+	gate    guardian.Gate
+	states  map[string]*state
+	book    latency.Book
+	changed chan struct{}
+	turn    int
+	holds   []hold
+}
+
+// hold is a place at a cold target whose request may still be running there.
+type hold struct {
+	target      string
+	incarnation string
+	until       time.Time
+}
+
+type state struct {
+	report  target.Report
+	warmAt  time.Time
+	leaving bool
+	listed  bool
+	suspect time.Time
+	full    time.Time
+}
+
+// Seen is what an observation changed.
+type Seen struct {
+	TurnedCold    bool
+	TurnedLeaving bool
+	Incarnation   string
+}
+
+// Reservation is the answer to Reserve: Direct, Forward or Refused.
+type Reservation interface{ reservation() }
+
+// Direct lets this daemon send; the caller must call Release.
+type Direct struct{ Cold bool }
+
+// Forward sends the attempt through the guardian.
+type Forward struct{ Guardian membership.Member }
+
+// Refused says that the target can't be used now.
+type Refused struct{ Reason string }
+
+func (Direct) reservation()  {}
+func (Forward) reservation() {}
+func (Refused) reservation() {}
+
+// Candidates returns the targets of the kind for the router.
+func (f *Fleet) Candidates(document catalog.Document, kind, dataCentre string, out func(string) bool) []router.Candidate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	f.expire(now)
+	var candidates []router.Candidate
+	for _, contract := range document.OfKind(kind) {
+		candidates = append(candidates, f.candidate(now, contract, dataCentre, out(contract.DataCentre)))
+	}
+	return candidates
+}
+
+func (f *Fleet) candidate(now time.Time, contract target.Target, dataCentre string, out bool) router.Candidate {
+	s := f.state(contract.Name)
+	typical, _ := f.book.Target(contract.Name)
+	c := router.Candidate{
+		Target:   contract,
+		Warm:     s.warm(now),
+		Leaving:  contract.Leaving || s.leaving || s.listed,
+		Out:      out,
+		Suspect:  now.Sub(s.suspect) < SuspectFor,
+		Local:    contract.DataCentre == dataCentre,
+		InFlight: f.gate.InFlight(contract.Name),
+		Reported: s.report.Running + s.report.Queued,
+		Typical:  typical,
+	}
+	if c.Warm {
+		c.Free = c.InFlight < contract.WarmLimit()
+	} else {
+		c.Free = now.Sub(s.full) >= FullFor && f.coldFree(now, contract, c)
+	}
+	return c
+}
+
+// coldFree reports whether the gate would let a request through or forward it.
+func (f *Fleet) coldFree(now time.Time, contract target.Target, c router.Candidate) bool {
+	if !c.Local {
+		return contract.ColdLimit > 0
+	}
+	switch f.gate.Acquire(now, contract).(type) {
+	case guardian.Granted:
+		f.gate.Release(contract.Name)
+		return true
+	case guardian.Elsewhere:
+		return contract.ColdLimit > 0
+	default:
+		return false
+	}
+}
+
+// Reserve asks to send one request to the target. Remote says who guards targets of
+// other data centres, by the views that this daemon has of them.
+func (f *Fleet) Reserve(contract target.Target, local bool, remote membership.View) Reservation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	if f.state(contract.Name).warm(now) {
+		if f.gate.InFlight(contract.Name) >= contract.WarmLimit() {
+			return Refused{Reason: "at its warm limit"}
+		}
+		f.gate.Enter(contract.Name)
+		return Direct{}
+	}
+	if !local {
+		m, ok := remote.Guardian(contract.Name)
+		if !ok {
+			return Refused{Reason: "no guardian is known in its data centre"}
+		}
+		return Forward{Guardian: m}
+	}
+	return f.reserveCold(now, contract)
+}
+
+// ReserveCold asks to send one request as the guardian of the target, however warm it is.
+func (f *Fleet) ReserveCold(contract target.Target) Reservation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	if f.state(contract.Name).warm(now) && f.gate.InFlight(contract.Name) < contract.WarmLimit() {
+		f.gate.Enter(contract.Name)
+		return Direct{}
+	}
+	return f.reserveCold(now, contract)
+}
+
+func (f *Fleet) reserveCold(now time.Time, contract target.Target) Reservation {
+	f.expire(now)
+	switch d := f.gate.Acquire(now, contract).(type) {
+	case guardian.Granted:
+		return Direct{Cold: true}
+	case guardian.Elsewhere:
+		return Forward{Guardian: d.Guardian}
+	case guardian.Full:
+		return Refused{Reason: "at its cold limit"}
+	case guardian.Pending:
+		return Refused{Reason: d.Reason}
+	default:
+		return Refused{Reason: "no member guards it"}
+	}
+}
+
+// Guards returns the guardian's decision about the target without taking a place.
+func (f *Fleet) Guards(contract target.Target) guardian.Decision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gate.Active(f.Clock.Now(), contract)
+}
+
+// WarmIncarnation returns the incarnation that is shown warm, or "" if none is.
+func (f *Fleet) WarmIncarnation(name string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.state(name)
+	if !s.warm(f.Clock.Now()) {
+		return ""
+	}
+	return s.report.Incarnation
+}
+
+// Release ends a direct send and wakes those who wait for capacity.
+func (f *Fleet) Release(name string, cold bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if cold {
+		f.gate.Release(name)
+	} else {
+		f.gate.Leave(name)
+	}
+	f.wake()
+}
+
+// Hold keeps the place of a cold send taken until the time, or until another
+// incarnation of the target is seen.
+func (f *Fleet) Hold(name, incarnation string, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holds = append(f.holds, hold{target: name, incarnation: incarnation, until: until})
+}
+
+// expire releases the held places that can no longer be in use.
+func (f *Fleet) expire(now time.Time) {
+	kept := f.holds[:0]
+	for _, h := range f.holds {
+		present := f.state(h.target).report.Incarnation
+		if now.Before(h.until) && (present == "" || present == h.incarnation) {
+			kept = append(kept, h)
+			continue
+		}
+		f.gate.Release(h.target)
+	}
+	f.holds = kept
+}
+
+// Observe takes in a report that came straight from the target.
+func (f *Fleet) Observe(name string, report target.Report) Seen {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.state(name)
+	now := f.Clock.Now()
+	wasWarm := s.warm(now)
+	wasLeaving := s.leaving
+	if report.Incarnation != s.report.Incarnation {
+		f.book.Forget(name)
+	}
+	s.report = report
+	s.leaving = report.Leaving
+	s.warmAt = time.Time{}
+	if !report.Cold && report.Incarnation != "" {
+		s.warmAt = now
+	}
+	f.wake()
+	return Seen{
+		TurnedCold:    wasWarm && !s.warm(now),
+		TurnedLeaving: report.Leaving && !wasLeaving,
+		Incarnation:   report.Incarnation,
+	}
+}
+
+// Suspect makes the target cold after a failure and avoids it for a while.
+func (f *Fleet) Suspect(name string) Seen {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.state(name)
+	now := f.Clock.Now()
+	wasWarm := s.warm(now)
+	s.suspect = now
+	s.warmAt = time.Time{}
+	return Seen{TurnedCold: wasWarm, Incarnation: s.report.Incarnation}
+}
+
+// Notice takes in what another daemon observed of an incarnation.
+func (f *Fleet) Notice(name, incarnation string, cold, leaving bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.state(name)
+	before := *s
+	if cold {
+		s.warmAt = time.Time{}
+	}
+	if leaving && (incarnation == "" || s.report.Incarnation == "" || s.report.Incarnation == incarnation) {
+		s.leaving = true
+	}
+	return before.leaving != s.leaving || before.warmAt != s.warmAt
+}
+
+// ListLeaving replaces what the platform's host list says about targets.
+func (f *Fleet) ListLeaving(document catalog.Document, leavingHosts map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, contract := range document.Targets {
+		f.state(contract.Name).listed = contract.Host != "" && leavingHosts[contract.Host]
+	}
+}
+
+// Full records that the guardian had no room for the target.
+func (f *Fleet) Full(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state(name).full = f.Clock.Now()
+}
+
+// Record adds the duration of a stage.
+func (f *Fleet) Record(kind, name string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.book.Record(f.Clock.Now(), kind, name, d)
+}
+
+// Quantile returns a quantile of the kind's durations and whether it is known.
+func (f *Fleet) Quantile(kind string, q float64) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.Quantile(f.Clock.Now(), kind, q)
+}
+
+// Turn returns a number that rises with every call.
+func (f *Fleet) Turn() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.turn++
+	return f.turn
+}
+
+// Changed returns a channel that is closed when capacity may have become free.
+func (f *Fleet) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return f.changed
+}
+
+func (f *Fleet) wake() {
+	if f.changed != nil {
+		close(f.changed)
+		f.changed = nil
+	}
+}
+
+// View returns the adopted membership of this data centre.
+func (f *Fleet) View() membership.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gate.View()
+}
+
+// Adopt acts on a newer view and reports whether it was newer.
+func (f *Fleet) Adopt(self string, view membership.View) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	defer f.wake()
+	return f.gate.Adopt(f.Clock.Now(), self, view)
+}
+
+// PeerAdopted records that a member acts on an epoch.
+func (f *Fleet) PeerAdopted(incarnation string, epoch uint64, busy map[string]int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	defer f.wake()
+	f.gate.PeerAdopted(incarnation, epoch, busy)
+}
+
+// Busy returns what is in flight to targets that this daemon doesn't guard.
+func (f *Fleet) Busy() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gate.Busy()
+}
+
+// Status is what this daemon knows of one target.
+type Status struct {
+	Warm     bool
+	Leaving  bool
+	InFlight int
+	Guardian string
+	Report   target.Report
+}
+
+// Status returns what is known of the target.
+func (f *Fleet) Status(contract target.Target) Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.state(contract.Name)
+	m, _ := f.gate.View().Guardian(contract.Name)
+	return Status{
+		Warm:     s.warm(f.Clock.Now()),
+		Leaving:  contract.Leaving || s.leaving || s.listed,
+		InFlight: f.gate.InFlight(contract.Name),
+		Guardian: m.Host,
+		Report:   s.report,
+	}
+}
+
+func (f *Fleet) state(name string) *state {
+	if f.states == nil {
+		f.states = map[string]*state{}
+	}
+	s := f.states[name]
+	if s == nil {
+		s = &state{}
+		f.states[name] = s
+	}
+	return s
+}
+
+func (s *state) warm(now time.Time) bool {
+	return !s.warmAt.IsZero() && now.Sub(s.warmAt) < WarmFor
+}
--- /dev/null
+++ b/internal/guardian/guardian.go
@@ -0,0 +1,288 @@
+// Package guardian decides whether this daemon may send work to a target in a cold
+// start. Each cold target has one guardian among the members of its data centre; only
+// the guardian sends to it, within the cold limit of its contract.
+//
+// The rule has no clock in it: a daemon becomes active as guardian only after every
+// other member has said that it acts on the same or a later epoch, with the requests
+// that it still has in flight. A paused daemon therefore keeps its targets, and none
+// else sends to them, until the platform says that its host is gone. What a departed
+// guardian may have in flight counts against the limit for the target's longest run.
+//
+// # Usage
+//
+//	var gate guardian.Gate
+//	gate.Adopt(now, self, view)
+//	gate.PeerAdopted(peer, epoch, busy)
+//	switch d := gate.Acquire(now, contract).(type) {
+//	case guardian.Granted:
+//		defer gate.Release(contract.Name)
+//	case guardian.Elsewhere:
+//		forward(d.Guardian)
+//	case guardian.Full, guardian.Pending:
+//		chooseAnother()
+//	}
+package guardian
+
+import (
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/membership"
+	"github.com/sequoiapick/sequoiapick/pkg/target"
+)
+
+// Decision is the answer to Acquire: Granted, Full, Pending or Elsewhere.
+type Decision interface{ decision() }
+
+// Granted lets one request through; the caller must release it.
+type Granted struct{}
+
+// Full says that the cold limit is used up.
+type Full struct{ InFlight, Limit int }
+
+// Pending says that this daemon guards the target but isn't active yet.
+type Pending struct {
+	// Reason names what is awaited.
+	Reason string
+}
+
+// Elsewhere says that another daemon guards the target.
+type Elsewhere struct{ Guardian membership.Member }
+
+// Nobody says that the data centre has no members known to this daemon.
+type Nobody struct{}
+
+func (Granted) decision()   {}
+func (Full) decision()      {}
+func (Pending) decision()   {}
+func (Elsewhere) decision() {}
+func (Nobody) decision()    {}
+
+// Gate is the guardian's state of one daemon; the zero value guards nothing. It is
+// not safe for concurrent use.
+type Gate struct {
+	self      string
+	view      membership.View
+	peers     map[string]adoption
+	inFlight  map[string]int
+	cold      map[string]int
+	active    map[string]uint64
+	departed  map[string]time.Time
+	lastDeath time.Time
+	orphans   []orphan
+}
+
+// orphan counts what a departed member still had in flight to a target that it no
+// longer guarded.
+type orphan struct {
+	target string
+	count  int
+	since  time.Time
+}
+
+type adoption struct {
+	epoch uint64
+	busy  map[string]int
+}
+
+// View returns the adopted view.
+func (g *Gate) View() membership.View {
+	return g.view
+}
+
+// Adopt acts on a newer view and reports whether it was newer.
+func (g *Gate) Adopt(now time.Time, self string, view membership.View) bool {
+	g.init()
+	if view.Epoch <= g.view.Epoch {
+		return false
+	}
+	contiguous := view.Epoch == g.view.Epoch+1
+	g.keepActive(view, contiguous)
+	g.noteDepartures(now, view)
+	g.self = self
+	g.view = view
+	g.forgetPeers(now)
+	return true
+}
+
+// keepActive carries over the targets that this daemon guards in both of two
+// consecutive epochs; after a gap another daemon may have been active in between.
+func (g *Gate) keepActive(view membership.View, contiguous bool) {
+	for name := range g.active {
+		m, ok := view.Guardian(name)
+		if !contiguous || !ok || m.Incarnation != g.self {
+			delete(g.active, name)
+			continue
+		}
+		g.active[name] = view.Epoch
+	}
+}
+
+func (g *Gate) noteDepartures(now time.Time, view membership.View) {
+	for _, d := range view.Departed {
+		if _, known := g.departed[d.Incarnation]; known {
+			continue
+		}
+		g.departed[d.Incarnation] = now
+		g.lastDeath = now
+	}
+}
+
+func (g *Gate) forgetPeers(now time.Time) {
+	for incarnation, a := range g.peers {
+		if _, ok := g.view.Member(incarnation); ok {
+			continue
+		}
+		for name, count := range a.busy {
+			g.orphans = append(g.orphans, orphan{target: name, count: count, since: now})
+		}
+		delete(g.peers, incarnation)
+	}
+}
+
+// PeerAdopted records that a member acts on the epoch and what it has in flight.
+func (g *Gate) PeerAdopted(incarnation string, epoch uint64, busy map[string]int) {
+	g.init()
+	if known, ok := g.peers[incarnation]; ok && known.epoch > epoch {
+		return
+	}
+	g.peers[incarnation] = adoption{epoch: epoch, busy: busy}
+}
+
+// Acquire decides whether one more request may go to the cold target.
+func (g *Gate) Acquire(now time.Time, contract target.Target) Decision {
+	decision := g.Active(now, contract)
+	if _, ok := decision.(Granted); !ok {
+		return decision
+	}
+	free, full := g.room(now, contract)
+	if !free {
+		return full
+	}
+	g.inFlight[contract.Name]++
+	g.cold[contract.Name]++
+	return decision
+}
+
+// Active decides whether this daemon acts as guardian of the target: Granted, Pending,
+// Elsewhere or Nobody. It takes no place.
+func (g *Gate) Active(now time.Time, contract target.Target) Decision {
+	g.init()
+	m, ok := g.view.Guardian(contract.Name)
+	if !ok {
+		return Nobody{}
+	}
+	if m.Incarnation != g.self {
+		return Elsewhere{Guardian: m}
+	}
+	if reason := g.activate(now, contract); reason != "" {
+		return Pending{Reason: reason}
+	}
+	return Granted{}
+}
+
+// room reports whether the target bears one more request.
+func (g *Gate) room(now time.Time, contract target.Target) (bool, Full) {
+	occupied := g.inFlight[contract.Name] + g.busyElsewhere(contract.Name) + g.orphaned(now, contract)
+	return occupied < contract.ColdLimit, Full{InFlight: occupied, Limit: contract.ColdLimit}
+}
+
+// activate makes the daemon active for the target if it may be, or names what is awaited.
+func (g *Gate) activate(now time.Time, contract target.Target) string {
+	if g.active[contract.Name] == g.view.Epoch {
+		return ""
+	}
+	for _, m := range g.view.Members {
+		if m.Incarnation == g.self {
+			continue
+		}
+		if g.peers[m.Incarnation].epoch < g.view.Epoch {
+			return "member " + m.Host + " has not adopted the epoch"
+		}
+	}
+	if !g.lastDeath.IsZero() && now.Before(g.lastDeath.Add(contract.RunLimit())) {
+		return "requests of a departed member may still run"
+	}
+	g.active[contract.Name] = g.view.Epoch
+	return ""
+}
+
+func (g *Gate) busyElsewhere(name string) int {
+	busy := 0
+	for _, a := range g.peers {
+		busy += a.busy[name]
+	}
+	return busy
+}
+
+// orphaned counts the requests of departed members that the target may still run, and
+// drops those that it can't.
+func (g *Gate) orphaned(now time.Time, contract target.Target) int {
+	count := 0
+	kept := g.orphans[:0]
+	for _, o := range g.orphans {
+		if o.target == contract.Name && !now.Before(o.since.Add(contract.RunLimit())) {
+			continue
+		}
+		kept = append(kept, o)
+		if o.target == contract.Name {
+			count += o.count
+		}
+	}
+	g.orphans = kept
+	return count
+}
+
+// Enter counts a request that goes to a target outside the gate, because the target is warm.
+func (g *Gate) Enter(name string) {
+	g.init()
+	g.inFlight[name]++
+}
+
+// Leave ends a request counted by Enter.
+func (g *Gate) Leave(name string) {
+	g.init()
+	decrement(g.inFlight, name)
+}
+
+// Release ends a request counted by Acquire.
+func (g *Gate) Release(name string) {
+	g.init()
+	decrement(g.inFlight, name)
+	decrement(g.cold, name)
+}
+
+func decrement(counts map[string]int, name string) {
+	if counts[name] <= 1 {
+		delete(counts, name)
+		return
+	}
+	counts[name]--
+}
+
+// InFlight returns the requests of this daemon that are in flight to the target.
+func (g *Gate) InFlight(name string) int {
+	return g.inFlight[name]
+}
+
+// Busy returns the requests that Acquire let through to targets that this daemon no
+// longer guards.
+func (g *Gate) Busy() map[string]int {
+	busy := map[string]int{}
+	for name, n := range g.cold {
+		if m, ok := g.view.Guardian(name); !ok || m.Incarnation != g.self {
+			busy[name] = n
+		}
+	}
+	return busy
+}
+
+func (g *Gate) init() {
+	if g.peers != nil {
+		return
+	}
+	g.peers = map[string]adoption{}
+	g.inFlight = map[string]int{}
+	g.cold = map[string]int{}
+	g.active = map[string]uint64{}
+	g.departed = map[string]time.Time{}
+}
--- /dev/null
+++ b/internal/registry/orders.go
@@ -0,0 +1,146 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/google/uuid"
+
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/platform"
+	"github.com/sequoiapick/sequoiapick/pkg/datacentre"
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+)
+
+// Out reports whether the data centre takes no new work.
+func (r *Registry) Out(dataCentre string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.orders.Out(dataCentre)
+}
+
+// Orders returns every known order.
+func (r *Registry) Orders() []datacentre.Order {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.orders.All()
+}
+
+// MergeOrder takes in an order from another daemon or the table.
+func (r *Registry) MergeOrder(order datacentre.Order) bool {
+	r.mu.Lock()
+	wasOut := r.orders.Out(order.DataCentre)
+	changed := r.orders.Merge(order)
+	isOut := r.orders.Out(order.DataCentre)
+	r.mu.Unlock()
+	if !changed {
+		return false
+	}
+	if isOut != wasOut {
+		e := event.DataCentreIn
+		if isOut {
+			e = event.DataCentreOut
+		}
+		r.Log.Emit(e, "DataCentre", order.DataCentre, "Order", order.ID)
+	}
+	r.notify()
+	return true
+}
+
+// TakeOut puts an order in force here at once and tries to make it durable; an order
+// that can't be saved now is saved by a later Sync.
+func (r *Registry) TakeOut(ctx context.Context, dataCentre string) (id string, durable bool) {
+	order := datacentre.Order{ID: uuid.NewString(), DataCentre: dataCentre}
+	r.mu.Lock()
+	if r.unsaved == nil {
+		r.unsaved = map[string]datacentre.Order{}
+	}
+	r.unsaved[order.ID] = order
+	r.mu.Unlock()
+	r.MergeOrder(order)
+	return order.ID, r.saveOrders(ctx) == nil
+}
+
+// BringIn cancels the orders known here, once the platform's table has it. Orders given
+// elsewhere that aren't known here stay in force.
+func (r *Registry) BringIn(ctx context.Context, dataCentre string) error {
+	if err := r.syncOrders(ctx); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	cancelled := r.orders.InForce(dataCentre)
+	r.mu.Unlock()
+	if len(cancelled) == 0 {
+		return problem.New(problem.NotFound, "no order keeps data centre %q out", dataCentre)
+	}
+	var tx platform.Transaction
+	for i := range cancelled {
+		cancelled[i].Cancelled = true
+		write, err := orderWrite(cancelled[i])
+		if err != nil {
+			return err
+		}
+		tx.Writes = append(tx.Writes, write)
+	}
+	if _, err := r.Table.Commit(ctx, tx); err != nil {
+		return err
+	}
+	for _, order := range cancelled {
+		r.MergeOrder(order)
+	}
+	return nil
+}
+
+func (r *Registry) syncOrders(ctx context.Context) error {
+	if err := r.saveOrders(ctx); err != nil {
+		return err
+	}
+	rows, err := r.Table.Scan(ctx, orderPrefix, "", maxOrders)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		var order datacentre.Order
+		if err := json.Unmarshal(row.Value, &order); err != nil {
+			return problem.New(problem.Internal, "order row: %v", err)
+		}
+		r.MergeOrder(order)
+	}
+	return nil
+}
+
+// saveOrders writes the orders that the table doesn't have yet. A row is only
+// inserted, so that a late write can't undo a cancellation.
+func (r *Registry) saveOrders(ctx context.Context) error {
+	r.mu.Lock()
+	var pending []datacentre.Order
+	for _, order := range r.unsaved {
+		pending = append(pending, order)
+	}
+	r.mu.Unlock()
+	for _, order := range pending {
+		write, err := orderWrite(order)
+		if err != nil {
+			return err
+		}
+		tx := platform.Transaction{
+			Conditions: []platform.Condition{{Key: write.Key}},
+			Writes:     []platform.Write{write},
+		}
+		if _, err := r.Table.Commit(ctx, tx); err != nil && problem.Of(err) != problem.Conflict {
+			return err
+		}
+		r.mu.Lock()
+		delete(r.unsaved, order.ID)
+		r.mu.Unlock()
+	}
+	return nil
+}
+
+func orderWrite(order datacentre.Order) (platform.Write, error) {
+	value, err := json.Marshal(order)
+	if err != nil {
+		return platform.Write{}, problem.New(problem.Internal, "encode order: %v", err)
+	}
+	return platform.Write{Key: orderPrefix + order.ID, Value: value}, nil
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,383 @@
+// Package registry keeps the configuration that is in force on this daemon, and the
+// orders that take data centres out.
+//
+// Versions only rise. Changes are rows of the platform's table, appended by a
+// transaction on the head row; a daemon learns them from the table or from any other
+// daemon, and refuses a lower version from either.
+//
+// # Usage
+//
+//	reg := &registry.Registry{Table: client, Objects: client, Clock: clock}
+//	err := reg.Sync(ctx)
+//	version, err := reg.Submit(ctx, expected, change)
+//	document := reg.Document()
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/sequoiapick/sequoiapick/internal/catalog"
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/platform"
+	"github.com/sequoiapick/sequoiapick/pkg/datacentre"
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+)
+
+// Keys of the platform's table and object store.
+const (
+	headKey        = "config/head"
+	changePrefix   = "config/change/"
+	changeIDPrefix = "config/id/"
+	snapshotPrefix = "config/snapshot/"
+	orderPrefix    = "order/"
+)
+
+// Sizes of the registry.
+const (
+	// SnapshotEvery is the number of versions between snapshots.
+	SnapshotEvery = 64
+	// KeptChanges is the number of changes kept for other daemons and in the table.
+	KeptChanges = 2 * SnapshotEvery
+	// maxOrders bounds the orders read in one scan.
+	maxOrders = 1000
+	// submitTries bounds the tries of a change that names no expected version.
+	submitTries = 8
+)
+
+// head is the row that every change is conditional on.
+type head struct {
+	Version         uint64
+	ChangeID        string
+	Snapshot        string
+	SnapshotVersion uint64
+}
+
+// Registry is safe for concurrent use.
+type Registry struct {
+	Table   platform.Table
+	Objects platform.Objects
+	Log     event.Log
+	// Raised is called after the version or the orders have changed; it must not block.
+	Raised func()
+
+	mu       sync.Mutex
+	document catalog.Document
+	changes  []catalog.Change
+	orders   datacentre.Orders
+	unsaved  map[string]datacentre.Order
+	loaded   bool
+}
+
+// Document returns the configuration in force.
+func (r *Registry) Document() catalog.Document {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.document
+}
+
+// Loaded reports whether the configuration was read from the table or another daemon.
+func (r *Registry) Loaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
+// Sync raises the configuration and the orders to those of the table.
+func (r *Registry) Sync(ctx context.Context) error {
+	if _, _, err := r.syncHead(ctx); err != nil {
+		return err
+	}
+	return r.syncOrders(ctx)
+}
+
+func (r *Registry) syncHead(ctx context.Context) (head, uint64, error) {
+	row, found, err := r.Table.Get(ctx, headKey)
+	if err != nil {
+		return head{}, 0, err
+	}
+	var h head
+	if found {
+		if err := json.Unmarshal(row.Value, &h); err != nil {
+			return h, 0, problem.New(problem.Internal, "head row: %v", err)
+		}
+	}
+	version := r.Document().Version
+	if h.Version < version {
+		r.Log.Emit(event.ConfigurationStale, "Version", h.Version, "InForce", version, "Source", "table")
+		return h, row.Revision, nil
+	}
+	if err := r.catchUp(ctx, h); err != nil {
+		return h, row.Revision, err
+	}
+	r.markLoaded()
+	return h, row.Revision, nil
+}
+
+func (r *Registry) markLoaded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loaded = true
+}
+
+// catchUp reads the snapshot, if the daemon is behind it, and the changes after it.
+func (r *Registry) catchUp(ctx context.Context, h head) error {
+	version := r.Document().Version
+	if version == h.Version {
+		return nil
+	}
+	if version < h.SnapshotVersion {
+		body, found, err := r.Objects.GetObject(ctx, h.Snapshot)
+		if err != nil {
+			return err
+		}
+		if !found {
+			return problem.New(problem.Unavailable, "snapshot %q is missing", h.Snapshot)
+		}
+		if err := r.RaiseSnapshot(body); err != nil {
+			return err
+		}
+		version = h.SnapshotVersion
+	}
+	rows, err := r.Table.Scan(ctx, changePrefix, changeKey(version), int(h.Version-version))
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		c, err := catalog.DecodeChange(row.Value)
+		if err != nil {
+			return err
+		}
+		if err := r.Raise([]catalog.Change{c}, "table"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Raise applies consecutive changes, passing over those already in force.
+func (r *Registry) Raise(changes []catalog.Change, source string) error {
+	r.mu.Lock()
+	before := r.document.Version
+	err := r.raise(changes)
+	after := r.document.Version
+	r.mu.Unlock()
+	if after > before {
+		r.Log.Emit(event.ConfigurationRaised, "Version", after, "Before", before, "Source", source)
+		r.notify()
+	}
+	return err
+}
+
+func (r *Registry) raise(changes []catalog.Change) error {
+	for _, c := range changes {
+		if c.Version <= r.document.Version {
+			continue
+		}
+		next, err := r.document.Apply(c)
+		if err != nil {
+			return err
+		}
+		r.document = next
+		r.loaded = true
+		r.changes = append(r.changes, c)
+		if len(r.changes) > KeptChanges {
+			r.changes = r.changes[len(r.changes)-KeptChanges:]
+		}
+	}
+	return nil
+}
+
+// RaiseSnapshot takes over a whole document if its version is higher.
+func (r *Registry) RaiseSnapshot(body []byte) error {
+	document, err := catalog.DecodeDocument(body)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	before := r.document.Version
+	newer := document.Version > before
+	if newer {
+		r.document = document
+		r.changes = nil
+		r.loaded = true
+	}
+	r.mu.Unlock()
+	if newer {
+		r.Log.Emit(event.ConfigurationRaised, "Version", document.Version, "Before", before, "Source", "snapshot")
+		r.notify()
+	}
+	return nil
+}
+
+func (r *Registry) notify() {
+	if r.Raised != nil {
+		r.Raised()
+	}
+}
+
+// Since returns the changes after the version, or a snapshot if they are no longer kept.
+func (r *Registry) Since(version uint64) (snapshot []byte, changes []catalog.Change, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if version >= r.document.Version {
+		return nil, nil, nil
+	}
+	if len(r.changes) > 0 && r.changes[0].Version <= version+1 {
+		return nil, append(changes, r.changes[version+1-r.changes[0].Version:]...), nil
+	}
+	snapshot, err = catalog.Encode(r.document)
+	return snapshot, nil, err
+}
+
+// Submit makes a change durable and puts it in force here. The change is made against
+// the expected version; 0 means the newest. A change ID that was accepted before
+// returns the version that it led to.
+func (r *Registry) Submit(ctx context.Context, expected uint64, change catalog.Change) (uint64, error) {
+	if err := change.Check(); err != nil {
+		return 0, err
+	}
+	if change.ID == "" {
+		change.ID = uuid.NewString()
+	}
+	for range submitTries {
+		version, err := r.submitOnce(ctx, expected, change)
+		if err == nil {
+			return version, nil
+		}
+		if problem.Of(err) != problem.Conflict || expected != 0 {
+			return 0, err
+		}
+	}
+	return 0, problem.New(problem.Conflict, "other changes kept winning; try again")
+}
+
+func (r *Registry) submitOnce(ctx context.Context, expected uint64, change catalog.Change) (uint64, error) {
+	if version, done, err := r.accepted(ctx, change.ID); done || err != nil {
+		return version, err
+	}
+	h, revision, err := r.syncHead(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if expected != 0 && expected != h.Version {
+		return 0, problem.New(problem.Conflict, "expected version %d, change %s has led to version %d", expected, h.ChangeID, h.Version)
+	}
+	change.Version = h.Version + 1
+	tx, err := r.transaction(ctx, h, revision, change)
+	if err != nil {
+		return 0, err
+	}
+	_, err = r.Table.Commit(ctx, tx)
+	if err != nil && problem.Of(err) != problem.Conflict {
+		return r.resolve(ctx, change)
+	}
+	if err != nil {
+		return 0, r.lost(ctx, change)
+	}
+	return change.Version, r.Raise([]catalog.Change{change}, "operator")
+}
+
+// accepted looks up a change that was submitted before.
+func (r *Registry) accepted(ctx context.Context, id string) (uint64, bool, error) {
+	row, found, err := r.Table.Get(ctx, changeIDPrefix+id)
+	if err != nil || !found {
+		return 0, false, err
+	}
+	var version uint64
+	if err := json.Unmarshal(row.Value, &version); err != nil {
+		return 0, false, problem.New(problem.Internal, "change ID row: %v", err)
+	}
+	_, _, err = r.syncHead(ctx)
+	return version, true, err
+}
+
+// resolve finds out whether a commit whose answer was lost took effect.
+func (r *Registry) resolve(ctx context.Context, change catalog.Change) (uint64, error) {
+	version, done, err := r.accepted(ctx, change.ID)
+	if err != nil {
+		return 0, problem.New(problem.Unavailable, "whether change %s was accepted is unknown; submit it again with the same ID: %v", change.ID, err)
+	}
+	if done {
+		return version, nil
+	}
+	return 0, problem.New(problem.Unavailable, "the commit of change %s failed and may still take effect; submit it again with the same ID", change.ID)
+}
+
+// lost names the change that won the race.
+func (r *Registry) lost(ctx context.Context, change catalog.Change) error {
+	h, _, err := r.syncHead(ctx)
+	if err != nil {
+		return err
+	}
+	return problem.New(problem.Conflict, "change %s has led to version %d", h.ChangeID, h.Version)
+}
+
+// transaction builds the commit of the change; every so often it refers to a snapshot
+// and removes the rows that the snapshot replaces.
+func (r *Registry) transaction(ctx context.Context, h head, revision uint64, change catalog.Change) (platform.Transaction, error) {
+	document, err := r.Document().Apply(change)
+	if err != nil {
+		return platform.Transaction{}, err
+	}
+	var tx platform.Transaction
+	next := head{Version: change.Version, ChangeID: change.ID, Snapshot: h.Snapshot, SnapshotVersion: h.SnapshotVersion}
+	if change.Version%SnapshotEvery == 0 {
+		next.Snapshot = fmt.Sprintf("%s%016d-%s", snapshotPrefix, change.Version, change.ID)
+		next.SnapshotVersion = change.Version
+		body, err := catalog.Encode(document)
+		if err != nil {
+			return tx, problem.New(problem.Internal, "snapshot: %v", err)
+		}
+		if err := r.Objects.PutObject(ctx, next.Snapshot, body); err != nil {
+			return tx, err
+		}
+		tx.Writes = append(tx.Writes, r.obsolete(change.Version)...)
+	}
+	tx.Conditions = []platform.Condition{{Key: headKey, Revision: revision}, {Key: changeIDPrefix + change.ID}}
+	for _, w := range []struct {
+		key   string
+		value any
+	}{{headKey, next}, {changeKey(change.Version), change}, {changeIDPrefix + change.ID, change.Version}} {
+		value, err := json.Marshal(w.value)
+		if err != nil {
+			return tx, problem.New(problem.Internal, "encode change: %v", err)
+		}
+		tx.Writes = append(tx.Writes, platform.Write{Key: w.key, Value: value})
+	}
+	return tx, nil
+}
+
+// obsolete deletes the rows of changes that are older than the previous snapshot.
+func (r *Registry) obsolete(version uint64) []platform.Write {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var writes []platform.Write
+	for _, c := range r.changes {
+		if c.Version+SnapshotEvery > version {
+			break
+		}
+		writes = append(writes,
+			platform.Write{Key: changeKey(c.Version), Delete: true},
+			platform.Write{Key: changeIDPrefix + c.ID, Delete: true})
+	}
+	return writes
+}
+
+func changeKey(version uint64) string {
+	return fmt.Sprintf("%s%016d", changePrefix, version)
+}
+
+// Hash returns a number that differs when the known orders differ.
+func (r *Registry) Hash() uint64 {
+	digest := xxhash.New()
+	for _, o := range r.Orders() {
+		_, _ = fmt.Fprintf(digest, "%s %t\n", o.ID, o.Cancelled)
+	}
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/run/race.go
@@ -0,0 +1,198 @@
+package run
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/link"
+	"github.com/sequoiapick/sequoiapick/internal/router"
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+)
+
+// Settings of hedging.
+const (
+	// hedgeQuantile is the share of stages that end before a second attempt is considered.
+	hedgeQuantile = 0.95
+	hedgeFactor   = 2
+	minHedgeDelay = 20 * time.Millisecond
+)
+
+// entrant is one attempt of a race.
+type entrant struct {
+	index  int
+	target router.Candidate
+	output []byte
+	result link.Result
+	err    error
+	cancel context.CancelFunc
+}
+
+// race is one attempt and, if that is slow, a second one on another target. The first
+// one to produce text, or to end if nothing is streamed, goes on alone.
+type race struct {
+	stage  *stageRun
+	ended  chan *entrant
+	mu     sync.Mutex
+	winner int
+}
+
+const nobody = -1
+
+// race sends the stage to the candidate and returns the whole output.
+func (s *stageRun) race(ctx context.Context, candidate router.Candidate) ([]byte, error) {
+	s.runner.Budget.Earn()
+	rc := &race{stage: s, ended: make(chan *entrant, 2), winner: nobody}
+	first := rc.start(ctx, 0, candidate)
+	defer first.cancel()
+	running := map[*entrant]bool{first: true}
+	timer := s.hedgeTimer()
+	defer timer.stop()
+	var failure error
+	for len(running) > 0 {
+		select {
+		case e := <-rc.ended:
+			delete(running, e)
+			s.settle(e)
+			if e.err == nil {
+				s.abandon(running)
+				return e.output, nil
+			}
+			failure = worse(failure, e.err)
+		case <-timer.fired():
+			if second := s.hedge(ctx, rc, candidate); second != nil {
+				defer second.cancel()
+				running[second] = true
+			}
+		}
+	}
+	return nil, failure
+}
+
+// worse returns the error that says more was sent.
+func worse(a, b error) error {
+	if a == nil || link.NotSent(a) {
+		return b
+	}
+	return a
+}
+
+// settle books an attempt that has ended.
+func (s *stageRun) settle(e *entrant) {
+	name := e.target.Target.Name
+	if e.err != nil {
+		s.tried[name] = true
+		s.note(event.AttemptFailed, "Failed", name, e.err.Error(), nil)
+	}
+	if !link.NotSent(e.err) {
+		s.charge(e.target.Target)
+		s.cost.Tokens += e.result.Tokens
+	}
+}
+
+// abandon books the attempts that lost and are still running.
+func (s *stageRun) abandon(running map[*entrant]bool) {
+	for e := range running {
+		s.charge(e.target.Target)
+	}
+}
+
+// start begins an attempt, whose end arrives on the race's channel.
+func (rc *race) start(ctx context.Context, index int, candidate router.Candidate) *entrant {
+	ctx, cancel := context.WithCancel(ctx)
+	e := &entrant{index: index, target: candidate, cancel: cancel}
+	attempt := rc.stage.attempt()
+	go func() {
+		e.result, e.err = rc.stage.send(ctx, candidate, attempt, func(text []byte) error {
+			return rc.text(e, text)
+		})
+		if e.err == nil {
+			e.err = rc.finish(e)
+		}
+		rc.ended <- e
+	}()
+	return e
+}
+
+func (s *stageRun) attempt() link.Attempt {
+	return link.Attempt{
+		ID:       s.attemptID(),
+		Request:  s.job.Request.ID,
+		Stage:    s.stage.Name,
+		Kind:     s.stage.Kind,
+		Input:    s.input,
+		Priority: s.priority(),
+	}
+}
+
+// priority returns the time left in milliseconds: the least is the most urgent.
+func (s *stageRun) priority() int {
+	return int(s.job.Request.Deadline.Sub(s.runner.Clock.Now()).Milliseconds())
+}
+
+// text takes one piece of an attempt's answer.
+func (rc *race) text(e *entrant, text []byte) error {
+	e.output = append(e.output, text...)
+	if rc.stage.sink == nil {
+		return nil
+	}
+	if !rc.claim(e.index) {
+		return problem.New(problem.Cancelled, "another attempt was faster")
+	}
+	return rc.stage.sink(text)
+}
+
+func (rc *race) finish(e *entrant) error {
+	if rc.claim(e.index) {
+		return nil
+	}
+	rc.stage.runner.Log.Emit(event.LateAnswerDropped, "Request", rc.stage.job.Request.ID, "Stage", rc.stage.stage.Name, "Target", e.target.Target.Name)
+	return problem.New(problem.Cancelled, "another attempt was faster")
+}
+
+func (rc *race) claim(index int) bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rc.winner == nobody {
+		rc.winner = index
+	}
+	return rc.winner == index
+}
+
+func (rc *race) decided() bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.winner != nobody
+}
+
+// hedge starts a second attempt on another warm target if the budget allows it.
+func (s *stageRun) hedge(ctx context.Context, rc *race, first router.Candidate) *entrant {
+	if rc.decided() {
+		return nil
+	}
+	s.tried[first.Target.Name] = true
+	candidates := s.runner.Fleet.Candidates(s.job.Document, s.stage.Kind, s.runner.DataCentre, s.runner.World.Out)
+	var warm []router.Candidate
+	for _, c := range candidates {
+		if c.Warm && !s.tried[c.Target.Name] {
+			warm = append(warm, c)
+		}
+	}
+	decision, ok := router.Choose(router.Question{Policy: s.runner.Policy, Candidates: warm, Turn: s.runner.Fleet.Turn()}).(router.Send)
+	if !ok || !s.runner.Budget.Spend() {
+		return nil
+	}
+	s.note(event.AttemptHedged, "Hedge", decision.Candidate.Target.Name, "no answer yet from "+first.Target.Name, names(candidates))
+	return rc.start(ctx, 1, decision.Candidate)
+}
+
+// hedgeTimer fires when the stage is slower than almost all others of its kind.
+func (s *stageRun) hedgeTimer() hedgeTimer {
+	typical, ok := s.runner.Fleet.Quantile(s.stage.Kind, hedgeQuantile)
+	if !ok || !s.stage.Idempotent {
+		return hedgeTimer{}
+	}
+	delay := max(minHedgeDelay, hedgeFactor*typical)
+	return hedgeTimer{timer: s.runner.Clock.NewTimer(delay)}
+}
--- /dev/null
+++ b/internal/run/stage.go
@@ -0,0 +1,160 @@
+package run
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/history"
+	"github.com/sequoiapick/sequoiapick/internal/link"
+	"github.com/sequoiapick/sequoiapick/internal/request"
+	"github.com/sequoiapick/sequoiapick/internal/router"
+	"github.com/sequoiapick/sequoiapick/pkg/pipeline"
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+	"github.com/sequoiapick/sequoiapick/pkg/target"
+)
+
+// retryPause is the time between an attempt that was not sent and the next choice.
+const retryPause = 10 * time.Millisecond
+
+// stageRun is one stage of one request.
+type stageRun struct {
+	runner *Runner
+	job    Job
+	stage  pipeline.Stage
+	share  time.Duration
+	input  []byte
+	sink   func([]byte) error
+	tried  map[string]bool
+	cost   request.StageCost
+	sent   int
+	number int
+	held   bool
+}
+
+func (s *stageRun) run(ctx context.Context) ([]byte, error) {
+	for {
+		if ctx.Err() != nil {
+			return nil, ended(ctx)
+		}
+		candidate, err := s.choose(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if candidate == nil {
+			continue
+		}
+		output, err := s.race(ctx, *candidate)
+		if err == nil {
+			return output, nil
+		}
+		if final := s.classify(ctx, err); final != nil {
+			return nil, final
+		}
+	}
+}
+
+// ended names why the context is over.
+func ended(ctx context.Context) error {
+	if ctx.Err() == context.DeadlineExceeded {
+		return problem.New(problem.Late, "the deadline passed")
+	}
+	return problem.New(problem.Cancelled, "the caller gave up")
+}
+
+// choose asks the router; nil says that the wait is over and the choice is to be made again.
+func (s *stageRun) choose(ctx context.Context) (*router.Candidate, error) {
+	r := s.runner
+	changed := r.Fleet.Changed()
+	candidates := r.Fleet.Candidates(s.job.Document, s.stage.Kind, r.DataCentre, r.World.Out)
+	for i := range candidates {
+		candidates[i].Tried = s.tried[candidates[i].Target.Name]
+	}
+	decision := router.Choose(router.Question{
+		Policy:     r.Policy,
+		Candidates: candidates,
+		Share:      s.share,
+		Turn:       r.Fleet.Turn(),
+	})
+	switch d := decision.(type) {
+	case router.Send:
+		s.note(event.StageRouted, "Send", d.Candidate.Target.Name, d.Reason, names(candidates))
+		return &d.Candidate, nil
+	case router.Wait:
+		if !s.held {
+			s.note(event.StageHeld, "Hold", "", d.Reason, names(candidates))
+		}
+		s.held = true
+		s.wait(ctx, changed, d.For)
+		return nil, nil
+	case router.Refuse:
+		s.note(event.StageRefused, "Refuse", "", d.Reason, names(candidates))
+		return nil, problem.New(d.Kind, "stage %q: %s", s.stage.Name, d.Reason)
+	default:
+		return nil, problem.New(problem.Internal, "unknown routing decision %T", decision)
+	}
+}
+
+func (s *stageRun) note(e event.Event, action, targetName, reason string, candidates []string) {
+	s.runner.Log.Emit(e, "Request", s.job.Request.ID, "Stage", s.stage.Name, "Candidates", candidates, "Choice", targetName, "Reason", reason)
+	s.runner.History.Add(s.job.Request.ID, history.Decision{
+		At:         s.runner.Clock.Now(),
+		Stage:      s.stage.Name,
+		Action:     action,
+		Target:     targetName,
+		Reason:     reason,
+		Candidates: candidates,
+	})
+}
+
+func (s *stageRun) wait(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
+	timer := s.runner.Clock.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.Chan():
+	}
+}
+
+// classify returns the error that ends the stage, or nil if it is to be tried again.
+func (s *stageRun) classify(ctx context.Context, err error) error {
+	if link.NotSent(err) {
+		s.wait(ctx, nil, retryPause)
+		return nil
+	}
+	s.sent++
+	if !s.stage.Idempotent {
+		return problem.New(problem.OutcomeUnknown, "stage %q was sent, its outcome is unknown: %s", s.stage.Name, problem.Detail(err))
+	}
+	if ctx.Err() != nil {
+		return ended(ctx)
+	}
+	if problem.Of(err) == problem.Cancelled {
+		return err
+	}
+	if s.sent >= MaxAttempts {
+		return problem.New(problem.TargetFailed, "stage %q failed %d times, at last: %s", s.stage.Name, s.sent, problem.Detail(err))
+	}
+	if !s.runner.Budget.Spend() {
+		return problem.New(problem.Overloaded, "stage %q failed and the retry budget is spent: %s", s.stage.Name, problem.Detail(err))
+	}
+	return nil
+}
+
+// attemptID names one attempt of the stage.
+func (s *stageRun) attemptID() string {
+	s.number++
+	return s.job.Request.ID + "/" + s.stage.Name + "/" + strconv.Itoa(s.number)
+}
+
+// charge books the cost of an attempt that may have reached the target.
+func (s *stageRun) charge(contract target.Target) {
+	s.cost.Attempts++
+	s.cost.CostMicros += contract.CostMicros
+	if s.cost.Target == "" {
+		s.cost.Target = contract.Name
+	}
+	s.runner.Metrics.StageCost(s.stage.Name, contract.CostMicros)
+}
--- /dev/null
+++ b/internal/run/timer.go
@@ -0,0 +1,25 @@
+package run
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// hedgeTimer is a timer that may be absent.
+type hedgeTimer struct {
+	timer clockwork.Timer
+}
+
+func (t hedgeTimer) fired() <-chan time.Time {
+	if t.timer == nil {
+		return nil
+	}
+	return t.timer.Chan()
+}
+
+func (t hedgeTimer) stop() {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,16 @@
+// Package version names the release of the programs.
+//
+// # Usage
+//
+//	fmt.Println(version.String())
+package version
+
+import "runtime"
+
+// Release is the version of this source tree.
+const Release = "0.1.0"
+
+// String returns the release and the Go version that built it.
+func String() string {
+	return Release + " (" + runtime.Version() + ")"
+}
--- /dev/null
+++ b/pkg/account/account.go
@@ -0,0 +1,51 @@
+// Package account describes the customers of the system and their limits.
+//
+// # Usage
+//
+//	a := account.Account{Name: "rep-portal", TokenHash: account.HashToken(token)}
+//	if a.Accepts(token) { ... }
+package account
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+)
+
+// Account is one customer.
+type Account struct {
+	Name string
+	// TokenHash is the hex SHA-256 of the bearer token; an empty one accepts no token.
+	TokenHash string
+	// MaxInFlight bounds the requests that one daemon serves at a time; 0 means no bound.
+	MaxInFlight int
+	// RequestsPerSecond bounds the rate on one daemon; 0 means no bound.
+	RequestsPerSecond float64
+}
+
+// HashToken returns the form in which a token is stored.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// Accepts reports whether the token belongs to the account.
+func (a Account) Accepts(token string) bool {
+	if a.TokenHash == "" || token == "" {
+		return false
+	}
+	return subtle.ConstantTimeCompare([]byte(a.TokenHash), []byte(HashToken(token))) == 1
+}
+
+// Check returns an error of kind Invalid if the account is not well formed.
+func (a Account) Check() error {
+	if a.Name == "" {
+		return problem.New(problem.Invalid, "account without a name")
+	}
+	if a.MaxInFlight < 0 || a.RequestsPerSecond < 0 {
+		return problem.New(problem.Invalid, "account %q has a negative limit", a.Name)
+	}
+	return nil
+}
