test(keys): prove at most once and a true "not run" by history checking

Six daemons in three data centres, concurrent callers, and seeded faults: kills, freezes, cuts between data centres, silent connections, platform down, cut, slow, answers lost, stale reads, order targets leaving, cutting answers short or silent. The targets' journals count executions by key; the callers' history is checked against a register that is set at most once.

--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -78,7 +78,9 @@
 	Attempt string
 	Request string
 	Stage   string
-	At      time.Time
+	// Input is the start of the input.
+	Input string
+	At    time.Time
 	// Cold says that the target was cold when the work arrived.
 	Cold bool
 	// Running is the number of requests at once, this one included.
@@ -255,6 +257,7 @@
 		Attempt: attempt,
 		Request: string(c.Request.Header.Peek(link.RequestHeader)),
 		Stage:   string(c.Request.Header.Peek(link.StageHeader)),
+		Input:   digest(string(c.PostBody())),
 		At:      time.Now(),
 		Cold:    s.cold,
 		Running: s.running,
--- /dev/null
+++ b/test/ablation/run.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Shows that a proof fails when its mechanism is switched off: applies a patch to a copy
+# of the committed tree and runs the proof there. Succeeds if the proof fails.
+# usage: test/ablation/run.sh NAME [SEEDS]
+set -euo pipefail
+name=$1
+seeds=${2:-"1 2"}
+root=$(git rev-parse --show-toplevel)
+patch=$root/test/ablation/$name.patch
+focus=$(sed -n 's/^proof: //p' "$patch")
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git -C "$root" archive HEAD | tar -x -C "$copy"
+patch -s -p1 -d "$copy" <"$patch"
+if (cd "$copy" && SEEDS="$seeds" go test -count=1 ./test -ginkgo.focus="$focus" -ginkgo.no-color -ginkgo.v) >"$copy/out" 2>&1; then
+  echo "$name: the proof passes without its mechanism"
+  exit 1
+fi
+echo "$name: the proof fails without its mechanism, seeds $seeds:"
+grep -A2 -m3 -E '\[FAILED\] [^i]' "$copy/out" | grep -v '^--' | head -12
+grep -E '^  submissions' "$copy/out" || true
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -362,3 +362,16 @@
 	defer listener.Close()
 	return listener.Addr().String()
 }
+
+// awaitListening waits until a restarted daemon takes connections.
+func (c *cluster) awaitListening(d *daemonProcess) {
+	Eventually(func() error {
+		_, _, err := fasthttp.GetTimeout(nil, "http://"+d.caller+"/healthz", time.Second)
+		return err
+	}, 10*time.Second, 20*time.Millisecond).Should(Succeed())
+}
+
+var (
+	downFault = standinplatform.Fault{Down: true}
+	healthy   = standinplatform.Fault{}
+)
--- /dev/null
+++ b/test/keys_test.go
@@ -0,0 +1,193 @@
+package test
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiapick/sequoiapick/internal/caller"
+)
+
+// submitted is what a caller was told about one submission under a key.
+type submitted struct {
+	answered bool
+	notRun   bool
+	text     string
+}
+
+// keyModel is a register that is set at most once: a request under a key hasn't run, or
+// has run with one answer. A submission without an answer and without "not run" may
+// have taken effect at any later time.
+var keyModel = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(string)
+			byKey[key] = append(byKey[key], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() []any { return []any{""} },
+	Step: func(state, _, output any) []any {
+		ran := state.(string)
+		out := output.(submitted)
+		switch {
+		case out.answered && (ran == "" || ran == "?" || ran == out.text):
+			return []any{out.text}
+		case out.answered:
+			return nil
+		case out.notRun && ran == "":
+			return []any{""}
+		case out.notRun:
+			return nil
+		case ran == "":
+			return []any{"", "?"}
+		default:
+			return []any{ran}
+		}
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%v -> %+v", input, output) },
+}
+
+// recorder collects the operations of concurrent callers.
+type recorder struct {
+	mu      sync.Mutex
+	start   time.Time
+	history []porcupine.Operation
+	counts  map[string]int
+}
+
+func (r *recorder) submit(client int, d *daemonProcess, key string) {
+	called := time.Since(r.start).Nanoseconds()
+	pipeline := "restock"
+	if len(key)%2 == 0 {
+		pipeline = "confirm"
+	}
+	a := runAt(d.caller, "front-desk", pipeline, key, caller.RunBody{Tier: "now", Input: "key " + key}, 6*time.Second)
+	returned := time.Since(r.start).Nanoseconds()
+	out := submitted{answered: a.Err == nil && a.Status == 200, text: a.Text, notRun: a.Err == nil && a.Failure.NotRun.Proven()}
+	name := "answered"
+	switch {
+	case a.Err != nil:
+		name = "no reply"
+	case a.Status != 200 && out.notRun:
+		name = "not run, " + string(a.Failure.Kind)
+	case a.Status != 200:
+		name = string(a.Failure.Kind)
+	}
+	if !out.answered && !out.notRun {
+		returned = math.MaxInt64
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[name]++
+	r.history = append(r.history, porcupine.Operation{ClientId: client, Input: key, Output: out, Call: called, Return: returned})
+}
+
+// executions counts how often the non-idempotent stage ran under each key, by the
+// journals of the targets.
+func executions(c *cluster) map[string]int {
+	ran := map[string]int{}
+	for name, t := range c.targets {
+		if t.profile.Kind != "order" {
+			continue
+		}
+		for _, e := range c.journal(name).Executions {
+			_, rest, _ := strings.Cut(e.Input, "key ")
+			key, _, _ := strings.Cut(rest, "]")
+			ran[key]++
+		}
+	}
+	return ran
+}
+
+var _ = Describe("promises 1 and 2: at most once, and a true \"not run\"", func() {
+	proof("holds under kills, freezes, cuts and platform outages", []uint64{1, 2}, func(seed uint64) {
+		c := newCluster(2, centres)
+		targets := smallFleet(c, centres)
+		c.awaitVersion(c.apply(c.daemons[0], users(targets...)))
+		rng := random(seed)
+		in := &injector{c: c, rng: random(seed + 1000), kinds: []string{
+			"kill", "freeze", "cut", "silence", "platform down", "platform cut", "platform slow", "answers lost", "stale reads",
+			"orders leaving", "orders cut short", "orders silent",
+		}}
+		r := &recorder{start: time.Now(), counts: map[string]int{}}
+		keys := []string{"k0"}
+		for _, d := range c.daemons {
+			keys = append(keys, c.ticket(d), c.ticket(d), c.ticket(d))
+		}
+		ended := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(ended)
+			in.run(8 * time.Second)
+		}()
+		var work sync.WaitGroup
+		for stopped := false; !stopped; {
+			select {
+			case <-ended:
+				stopped = true
+			default:
+			}
+			if rng.IntN(3) == 0 {
+				keys = append(keys, fmt.Sprintf("k%d", len(keys)))
+			}
+			key := keys[rng.IntN(len(keys))]
+			for client := range 2 {
+				d := c.daemons[rng.IntN(len(c.daemons))]
+				work.Go(func() { r.submit(client, d, key) })
+			}
+			time.Sleep(25 * time.Millisecond)
+		}
+		work.Wait()
+		time.Sleep(2 * time.Second)
+		for i, key := range keys {
+			r.submit(9, c.daemons[i%len(c.daemons)], key)
+		}
+		GinkgoWriter.Println("submissions:", r.counts)
+		for key, n := range executions(c) {
+			Expect(n).To(BeNumerically("<=", 1), "key %s ran %d times", key, n)
+		}
+		model := keyModel.ToModel()
+		Expect(porcupine.CheckOperations(model, r.history)).To(BeTrue(), "the history isn't linearizable")
+		Expect(r.counts["answered"]).To(BeNumerically(">", 100))
+	})
+
+	It("keeps confirming with tickets while the platform is down", func() {
+		c := newCluster(2, centres[:1])
+		c.awaitVersion(c.apply(c.daemons[0], users(smallFleet(c, centres[:1])...)))
+		d := c.daemons[0]
+		warm := c.run(d, "restock", "warm", caller.RunBody{Tier: "now", Input: "key warm"})
+		Expect(warm.Status).To(Equal(200), string(warm.Raw))
+		tickets := []string{c.ticket(d), c.ticket(d)}
+		c.fault(downFault)
+		for _, ticket := range tickets {
+			through := c.run(c.daemons[1], "restock", ticket, caller.RunBody{Tier: "now", Input: "key " + ticket})
+			Expect(through.Status).To(Equal(200), string(through.Raw))
+			again := c.run(d, "restock", ticket, caller.RunBody{Tier: "now", Input: "key " + ticket})
+			Expect(again.Text).To(Equal(through.Text))
+		}
+		claimed := c.run(d, "restock", "fresh", caller.RunBody{Tier: "now", Input: "key fresh"})
+		Expect(string(claimed.Failure.Kind)).To(Equal("KeyUnverified"))
+		Expect(claimed.Failure.NotRun.Proven()).To(BeFalse())
+		c.fault(healthy)
+		Eventually(func() int {
+			return c.run(c.daemons[1], "restock", "fresh", caller.RunBody{Tier: "now", Input: "key fresh"}).Status
+		}, 5*time.Second).Should(Equal(200))
+		reused := c.run(d, "restock", "fresh", caller.RunBody{Tier: "now", Input: "something else"})
+		Expect(string(reused.Failure.Kind)).To(Equal("KeyReused"))
+		for key, n := range executions(c) {
+			Expect(n).To(Equal(1), key)
+		}
+	})
+})
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -25,6 +25,7 @@
 				{Name: "check", Kind: "retriever", Idempotent: true},
 				{Name: "confirm", Kind: "order", Idempotent: false},
 			}},
+			{Name: "confirm", Stages: []*operator.Stage{{Name: "confirm", Kind: "order"}}},
 			{Name: "stop-plan", Stages: []*operator.Stage{{Name: "plan", Kind: "llm", Idempotent: true}}},
 		},
 		Tiers: []*operator.Tier{
