--- a/test/keys_test.go
+++ b/test/keys_test.go
@@ -65,9 +65,18 @@
 	start   time.Time
 	history []porcupine.Operation
 	counts  map[string]int
+	refused []refusal
+}
+
+// refusal is one "not run".
+type refusal struct {
+	request string
+	key     string
+	called  time.Time
 }
 
 func (r *recorder) submit(client int, d *daemonProcess, key string) {
+	began := time.Now()
 	called := time.Since(r.start).Nanoseconds()
 	pipeline := "restock"
 	if len(key)%2 == 0 {
@@ -91,6 +100,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts[name]++
+	if out.notRun {
+		r.refused = append(r.refused, refusal{request: a.Failure.RequestID, key: key, called: began})
+	}
 	r.history = append(r.history, porcupine.Operation{ClientId: client, Input: key, Output: out, Call: called, Return: returned})
 }
 
@@ -111,6 +123,24 @@
 	return ran
 }
 
+// contradictions lists what the targets ran of requests that were said not to have run,
+// and of their keys before that was said.
+func contradictions(c *cluster, refused []refusal) []string {
+	var found []string
+	for name := range c.targets {
+		for _, e := range c.journal(name).Executions {
+			for _, r := range refused {
+				_, rest, _ := strings.Cut(e.Input, "key ")
+				key, _, _ := strings.Cut(rest, "]")
+				if e.Request == r.request || key == r.key && e.At.Before(r.called) {
+					found = append(found, fmt.Sprintf("%s ran %s for key %s, said not to have run", name, e.Attempt, r.key))
+				}
+			}
+		}
+	}
+	return found
+}
+
 var _ = Describe("promises 1 and 2: at most once, and a true \"not run\"", func() {
 	proof("holds under kills, freezes, cuts and platform outages", []uint64{1, 2}, func(seed uint64) {
 		c := newCluster(2, centres)
@@ -158,6 +188,7 @@
 		for key, n := range executions(c) {
 			Expect(n).To(BeNumerically("<=", 1), "key %s ran %d times", key, n)
 		}
+		Expect(contradictions(c, r.refused)).To(BeEmpty())
 		model := keyModel.ToModel()
 		Expect(porcupine.CheckOperations(model, r.history)).To(BeTrue(), "the history isn't linearizable")
 		Expect(r.counts["answered"]).To(BeNumerically(">", 100))
