fix(run): pace the retries of a stage whose guardian is lost

Ruled out: the cold limit (no target over it) and the deadline. A second cause: a daemon that restarts during an outage answered Unauthenticated before it had a configuration.

Change: a lost guardian closes its cold target to this daemon for 1 s; a daemon without a configuration answers Stopping.

--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -22,6 +22,9 @@
 
 // Authenticate implements caller.Service.
 func (d *Daemon) Authenticate(token, header string) (account.Account, error) {
+	if !d.registry.Loaded() {
+		return account.Account{}, problem.New(problem.Stopping, "the daemon has no configuration yet")
+	}
 	document := d.registry.Document()
 	if token != "" {
 		if a, ok := document.AccountOf(token); ok {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,6 +36,8 @@
 	SuspectFor = time.Second
 	// FullFor is the time for which a guardian's refusal is taken as a full target.
 	FullFor = 100 * time.Millisecond
+	// LostFor is the time for which the target of a lost guardian is avoided.
+	LostFor = time.Second
 )
 
 // Fleet is safe for concurrent use.
@@ -64,7 +66,8 @@
 	leaving bool
 	listed  bool
 	suspect time.Time
-	full    time.Time
+	// closed is the time until which no guardian is asked for the cold target.
+	closed time.Time
 }
 
 // Seen is what an observation changed.
@@ -120,7 +123,7 @@
 	if c.Warm {
 		c.Free = c.InFlight < contract.WarmLimit()
 	} else {
-		c.Free = now.Sub(s.full) >= FullFor && f.coldFree(now, contract, c)
+		c.Free = !now.Before(s.closed) && f.coldFree(now, contract, c)
 	}
 	return c
 }
@@ -305,11 +308,20 @@
 	}
 }
 
-// Full records that the guardian had no room for the target.
+// Full records that the guardian had no room for the cold target.
 func (f *Fleet) Full(name string) {
+	f.closeFor(name, FullFor)
+}
+
+// Lost records that the guardian of the cold target can't be reached.
+func (f *Fleet) Lost(name string) {
+	f.closeFor(name, LostFor)
+}
+
+func (f *Fleet) closeFor(name string, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.state(name).full = f.Clock.Now()
+	f.state(name).closed = f.Clock.Now().Add(d)
 }
 
 // Record adds the duration of a stage.
--- a/internal/run/send.go
+++ b/internal/run/send.go
@@ -188,8 +188,8 @@
 		return false, sink(text)
 	})
 	if err != nil {
-		if peer.NotSent(err) {
-			r.Fleet.Full(contract.Name)
+		if ctx.Err() == nil {
+			r.Fleet.Lost(contract.Name)
 		}
 		return link.Result{}, &link.SendError{NotSent: peer.NotSent(err), Err: err}
 	}
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -82,7 +82,7 @@
 
 func (in *injector) inject(kind string, victim *daemonProcess, length time.Duration) {
 	switch kind {
-	case "kill", "freeze":
+	case "kill", "freeze", "planned stop", "host gone":
 		if _, busy := perDaemon.LoadOrStore(victim, true); busy {
 			return
 		}
@@ -99,6 +99,22 @@
 		victim.signal(syscall.SIGSTOP)
 		time.Sleep(length)
 		victim.signal(syscall.SIGCONT)
+	case "planned stop":
+		_ = victim.stop()
+		victim.start()
+		in.c.awaitListening(victim)
+	case "host gone":
+		victim.kill()
+		in.c.listHosts(victim.host)
+		time.Sleep(length + 2*time.Second)
+		in.c.listHosts()
+		victim.start()
+		in.c.awaitListening(victim)
+	case "restart target":
+		for name := range in.c.targets {
+			in.c.spoil(name, standintarget.Fault{Restart: true})
+			return
+		}
 	case "cut":
 		in.cut(victim.dataCentre, true)
 		time.Sleep(length)
