--- a/test/cold_test.go
+++ b/test/cold_test.go
@@ -116,6 +116,26 @@
 		Expect(l.answered.Load()).To(BeNumerically(">", 50))
 	})
 
+	proof("never takes a restarted target for the warm one that it replaced", []uint64{1}, func(seed uint64) {
+		c := newCluster(3, centres[:1])
+		var targets []*operator.Target
+		for n := range 2 {
+			targets = append(targets, c.addTarget(fmt.Sprintf("llm-%d", n), centres[0], standintarget.Profile{
+				Kind: "llm", FirstMillis: 20, Tokens: 4, TokenMillis: 10, Batch: 16, ColdLimit: 1, WarmAfter: 10,
+			}))
+		}
+		c.awaitVersion(c.apply(c.daemons[0], users(targets...)))
+		l := newLoad(c, seed, 16, "stop-plan", "later")
+		Eventually(func() int { return coldRuns(c) }, 10*time.Second).Should(BeNumerically(">", 100))
+		for n := range 4 {
+			before := coldRuns(c)
+			c.spoil(fmt.Sprintf("llm-%d", n%2), standintarget.Fault{Restart: true})
+			Eventually(func() int { return coldRuns(c) }, 10*time.Second).Should(BeNumerically(">", before+150))
+		}
+		l.end()
+		Expect(overLimit(c)).To(BeEmpty())
+	})
+
 	proof("bounds the excess after a silent turn to cold", []uint64{1}, func(seed uint64) {
 		c := newCluster(3, centres[:1])
 		target := c.addTarget("llm-0", centres[0], standintarget.Profile{
