fix(gossip): send what the other side lacks after taking in its changes

Proofs of promises 3, 5, 6, 7, 8 and 9 on separate processes, and the faults that they found: - An order to take a data centre out, given while the platform was down, reached the last daemon after 2.17 s. Cause: a daemon whose peer answered with changes took them in and never sent its own; ruled out: the push itself (0.2 s with the platform up). Changes now carry the sender's digest. - A target listed as leaving had new work after 6.96 s (bound 5 s): only two daemons of a data centre read the host list often. The stream now ends with a failure. - Cold targets of the own data centre got no work while a warm one elsewhere had the same price, so they never warmed. The choice now prefers the own data centre among targets of one price that fit the deadline. - A forwarded attempt that failed on the way to the guardian used up the attempts at the stage; it is now only paced.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,6 +65,7 @@
 	notices  map[string]bool
 	adopted  adoptedState
 	outSince map[string]time.Time
+	turns    map[string]*sync.Mutex
 	moved    chan struct{}
 
 	ready    atomic.Bool
@@ -107,7 +108,7 @@
 	}
 	d.registry = &registry.Registry{Table: d.platform, Objects: d.platform, Log: d.log, Raised: d.changed}
 	d.fleet = &fleet.Fleet{Clock: d.Clock}
-	d.links = &link.Pool{}
+	d.links = &link.Pool{LocalAddress: hostOf(d.Settings.Address.Peer)}
 	d.peers = &peer.Client{LocalAddress: hostOf(d.Settings.Address.Peer)}
 	d.history = &history.Book{}
 	d.admission = &admission.Gate{Clock: d.Clock, MaxInFlight: d.Settings.Limit.InFlight}
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -97,18 +97,22 @@
 	if err != nil {
 		return err
 	}
+	theirs := reply.GetDigest()
 	if changes := reply.GetChanges(); changes != nil {
-		return d.takeIn(changes, "peer")
-	}
-	if theirs := reply.GetDigest(); theirs != nil && differ(mine, theirs) {
-		changes, err := d.changesFor(theirs)
-		if err != nil {
+		if err := d.takeIn(changes, "peer"); err != nil {
 			return err
 		}
-		_, err = d.peers.Call(ctx, address, &peerpb.Call{Kind: &peerpb.Call_Changes{Changes: changes}})
+		theirs = changes.Digest
+	}
+	if theirs == nil || !differ(d.digest(), theirs) {
+		return nil
+	}
+	changes, err := d.changesFor(theirs)
+	if err != nil {
 		return err
 	}
-	return nil
+	_, err = d.peers.Call(ctx, address, &peerpb.Call{Kind: &peerpb.Call_Changes{Changes: changes}})
+	return err
 }
 
 func (d *Daemon) digest() *peerpb.Digest {
@@ -156,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	message := &peerpb.Changes{Snapshot: snapshot}
+	message := &peerpb.Changes{Snapshot: snapshot, Digest: d.digest()}
 	for _, c := range changes {
 		body, err := catalog.Encode(c)
 		if err != nil {
--- a/internal/daemon/member.go
+++ b/internal/daemon/member.go
@@ -176,7 +176,7 @@
 		listed[h.Name] = true
 		leaving[h.Name] = h.State == platform.Leaving
 	}
-	d.fleet.ListLeaving(d.registry.Document(), leaving)
+	d.listTargets(leaving)
 	if !d.poller() {
 		return nil
 	}
@@ -190,6 +190,19 @@
 	})
 }
 
+// listTargets takes in which targets' hosts are leaving, and tells the daemons that
+// don't read the list themselves.
+func (d *Daemon) listTargets(leaving map[string]bool) {
+	for _, contract := range d.registry.Document().Targets {
+		isLeaving := contract.Host != "" && leaving[contract.Host]
+		if !d.fleet.List(contract.Name, isLeaving) {
+			continue
+		}
+		d.log.Emit(event.TargetLeaving, "Target", contract.Name, "Leaving", isLeaving, "Source", "host list")
+		d.spreadNotice(&peerpb.Notice{Target: contract.Name, Leaving: isLeaving, Listed: true})
+	}
+}
+
 // announceAdoption tells every member of this data centre the adopted epoch and what
 // is in flight to targets that others guard, until each has heard the newest.
 func (d *Daemon) announceAdoption(ctx context.Context) error {
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/event"
@@ -96,6 +97,7 @@
 // it, the guardianship itself keeps a second holder away, since it doesn't lapse while
 // its holder is paused.
 func (d *Daemon) orderAsGuardian(ctx context.Context, contract target.Target, action, argument string) (uint64, string, error) {
+	defer d.orderTurn(contract.Name)()
 	number, err := d.nextFence(ctx, contract.Name)
 	if err != nil {
 		return 0, OrderRefused, err
@@ -113,6 +115,23 @@
 	return d.sendOrder(ctx, conn, contract, link.Order{Action: action, Argument: argument, Fencing: number}, checked)
 }
 
+// orderTurn waits for the target's earlier orders, so that the numbers reach it in
+// order, and returns the function that ends the turn.
+func (d *Daemon) orderTurn(name string) func() {
+	d.mu.Lock()
+	if d.turns == nil {
+		d.turns = map[string]*sync.Mutex{}
+	}
+	turn := d.turns[name]
+	if turn == nil {
+		turn = &sync.Mutex{}
+		d.turns[name] = turn
+	}
+	d.mu.Unlock()
+	turn.Lock()
+	return turn.Unlock
+}
+
 func (d *Daemon) sendOrder(ctx context.Context, conn *link.Conn, contract target.Target, order link.Order, checked time.Time) (uint64, string, error) {
 	if d.Clock.Since(checked) > maxOrderPause {
 		return order.Fencing, OrderRefused, problem.New(problem.Unavailable, "paused before the order was sent")
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -88,6 +88,11 @@
 	if !d.firstSight(n.ID) {
 		return
 	}
+	if n.Listed {
+		d.fleet.List(n.Target, n.Leaving)
+		d.passOn(n)
+		return
+	}
 	d.fleet.Notice(n.Target, n.Incarnation, n.Cold, n.Leaving)
 	d.passOn(n)
 }
--- a/internal/daemon/world.go
+++ b/internal/daemon/world.go
@@ -151,13 +151,16 @@
 
 // Spread implements run.World.
 func (d *Daemon) Spread(target string, seen fleet.Seen) {
-	notice := &peerpb.Notice{
+	d.spreadNotice(&peerpb.Notice{
 		Target:      target,
 		Incarnation: seen.Incarnation,
 		Cold:        seen.TurnedCold,
 		Leaving:     seen.TurnedLeaving,
-		ID:          uuid.NewString(),
-	}
+	})
+}
+
+func (d *Daemon) spreadNotice(notice *peerpb.Notice) {
+	notice.ID = uuid.NewString()
 	d.firstSight(notice.ID)
 	d.passOn(notice)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -299,13 +299,15 @@
 	return before.leaving != s.leaving || before.warmAt != s.warmAt
 }
 
-// ListLeaving replaces what the platform's host list says about targets.
-func (f *Fleet) ListLeaving(document catalog.Document, leavingHosts map[string]bool) {
+// List takes in what the platform's host list says about the target and reports
+// whether that is new.
+func (f *Fleet) List(name string, leaving bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, contract := range document.Targets {
-		f.state(contract.Name).listed = contract.Host != "" && leavingHosts[contract.Host]
-	}
+	s := f.state(name)
+	changed := s.listed != leaving
+	s.listed = leaving
+	return changed
 }
 
 // Full records that the guardian had no room for the cold target.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -82,7 +82,9 @@
 type SendError struct {
 	// NotSent says that no byte of the attempt has left.
 	NotSent bool
-	Err     error
+	// GuardianLost says that the daemon that was to send the attempt can't be reached.
+	GuardianLost bool
+	Err          error
 }
 
 // Error returns what failed.
@@ -97,6 +99,12 @@
 	return errors.As(err, &e) && e.NotSent
 }
 
+// GuardianLost reports whether the attempt failed on the way to another daemon.
+func GuardianLost(err error) bool {
+	var e *SendError
+	return errors.As(err, &e) && e.GuardianLost
+}
+
 // Conn is a connection that is bound to one incarnation of a target.
 type Conn struct {
 	// Report is the newest report that came over the connection.
@@ -112,6 +120,10 @@
 
 // Pool keeps idle connections to targets; the zero value works.
 type Pool struct {
+	// LocalAddress is the IP address that connections come from; empty lets the system
+	// choose.
+	LocalAddress string
+
 	mu   sync.Mutex
 	idle map[string][]*Conn
 }
@@ -137,7 +149,22 @@
 // Dial returns a new connection that has carried the target's report. An error proves
 // that nothing but the question for the report was sent.
 func (p *Pool) Dial(ctx context.Context, contract target.Target) (*Conn, error) {
-	return dial(ctx, contract)
+	ctx, cancel := context.WithTimeout(ctx, ProofTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	if p.LocalAddress != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(p.LocalAddress)}
+	}
+	c, err := dialer.DialContext(ctx, "tcp", contract.Address)
+	if err != nil {
+		return nil, notSent("dial", err)
+	}
+	conn := &Conn{contract: contract, net: c, reader: bufio.NewReader(c), writer: bufio.NewWriter(c)}
+	if err := conn.prove(ctx); err != nil {
+		_ = c.Close()
+		return nil, notSent("first report", err)
+	}
+	return conn, nil
 }
 
 // Keep returns a connection after a whole answer. It is closed instead if anything
@@ -176,22 +203,6 @@
 	delete(p.idle, address)
 }
 
-func dial(ctx context.Context, contract target.Target) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, ProofTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	c, err := dialer.DialContext(ctx, "tcp", contract.Address)
-	if err != nil {
-		return nil, notSent("dial", err)
-	}
-	conn := &Conn{contract: contract, net: c, reader: bufio.NewReader(c), writer: bufio.NewWriter(c)}
-	if err := conn.prove(ctx); err != nil {
-		_ = c.Close()
-		return nil, notSent("first report", err)
-	}
-	return conn, nil
-}
-
 func notSent(context string, err error) error {
 	return &SendError{NotSent: true, Err: problem.New(problem.Unavailable, "%s: %v", context, err)}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -222,10 +222,15 @@
 	return best, false
 }
 
+// cheaper orders candidates that fit: by price, then the own data centre, so that its
+// cold targets get the work that warms them, then by the expected duration.
 func cheaper(a, b Candidate) bool {
 	if a.Target.CostMicros != b.Target.CostMicros {
 		return a.Target.CostMicros < b.Target.CostMicros
 	}
+	if a.Local != b.Local {
+		return a.Local
+	}
 	return Expected(a) < Expected(b)
 }
 
--- a/internal/run/race.go
+++ b/internal/run/race.go
@@ -140,6 +140,7 @@
 	if !rc.claim(e.index) {
 		return problem.New(problem.Cancelled, "another attempt was faster")
 	}
+	rc.stage.streamed.Store(true)
 	return rc.stage.sink(text)
 }
 
--- a/internal/run/send.go
+++ b/internal/run/send.go
@@ -191,7 +191,7 @@
 		if ctx.Err() == nil {
 			r.Fleet.Lost(contract.Name)
 		}
-		return link.Result{}, &link.SendError{NotSent: peer.NotSent(err), Err: err}
+		return link.Result{}, &link.SendError{NotSent: peer.NotSent(err), GuardianLost: true, Err: err}
 	}
 	return r.forwarded(contract, attempt, end, received, started)
 }
--- a/internal/run/stage.go
+++ b/internal/run/stage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/event"
@@ -31,6 +32,9 @@
 	sent   int
 	number int
 	held   bool
+	// streamed says that the caller has some of the answer, so that no other attempt
+	// may go on from there.
+	streamed atomic.Bool
 }
 
 func (s *stageRun) run(ctx context.Context) ([]byte, error) {
@@ -124,7 +128,6 @@
 		s.wait(ctx, nil, retryPause)
 		return nil
 	}
-	s.sent++
 	if !s.stage.Idempotent {
 		return problem.New(problem.OutcomeUnknown, "stage %q was sent, its outcome is unknown: %s", s.stage.Name, problem.Detail(err))
 	}
@@ -134,6 +137,14 @@
 	if problem.Of(err) == problem.Cancelled {
 		return err
 	}
+	if s.streamed.Load() {
+		return problem.New(problem.TargetFailed, "stage %q broke off after its answer had begun: %s", s.stage.Name, problem.Detail(err))
+	}
+	if link.GuardianLost(err) {
+		s.wait(ctx, nil, retryPause)
+		return nil
+	}
+	s.sent++
 	if s.sent >= MaxAttempts {
 		return problem.New(problem.TargetFailed, "stage %q failed %d times, at last: %s", s.stage.Name, s.sent, problem.Detail(err))
 	}
--- /dev/null
+++ b/test/config_test.go
@@ -0,0 +1,168 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/sequoiapick/sequoiapick/pkg/operator"
+)
+
+// watcher notes every version that a daemon was seen to have in force.
+type watcher struct {
+	mu      sync.Mutex
+	highest map[string]uint64
+	reverts []string
+	stop    chan struct{}
+	work    sync.WaitGroup
+}
+
+func newWatcher(c *cluster) *watcher {
+	w := &watcher{highest: map[string]uint64{}, stop: make(chan struct{})}
+	for _, d := range c.daemons {
+		w.work.Go(func() {
+			for {
+				select {
+				case <-w.stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				if status, _ := c.get(d, "front-desk", "/readyz"); status == 200 {
+					w.note(d.host, c.version(d))
+				}
+			}
+		})
+	}
+	return w
+}
+
+func (w *watcher) note(host string, version uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if version == 0 {
+		return
+	}
+	if version < w.highest[host] {
+		w.reverts = append(w.reverts, fmt.Sprintf("%s went from %d to %d", host, w.highest[host], version))
+	}
+	w.highest[host] = version
+}
+
+var _ = Describe("promise 8: an accepted configuration is in force everywhere and never reverts", func() {
+	proof("holds under races, lost answers, stale reads, restarts, cuts and freezes", []uint64{1, 2}, func(seed uint64) {
+		c := newCluster(2, centres)
+		c.awaitVersion(c.apply(c.daemons[0], users()))
+		w := newWatcher(c)
+		in := &injector{c: c, rng: random(seed), kinds: []string{
+			"kill", "freeze", "cut", "silence", "platform down", "platform cut", "platform slow", "answers lost", "stale reads",
+		}}
+		ended := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(ended)
+			in.run(10 * time.Second)
+		}()
+		var mu sync.Mutex
+		accepted := map[string]uint64{}
+		kinds := map[string]int{}
+		var operators sync.WaitGroup
+		for n := range 4 {
+			rng := random(seed + 100 + uint64(n))
+			operators.Go(func() {
+				for i := 0; ; i++ {
+					select {
+					case <-ended:
+						return
+					default:
+					}
+					name := fmt.Sprintf("t-%d-%d", n, i)
+					d := c.daemons[rng.IntN(len(c.daemons))]
+					err := c.operate(d, func(ctx context.Context, client operator.OperatorClient) error {
+						ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+						defer cancel()
+						reply, err := client.Apply(ctx, &operator.ApplyRequest{Tiers: []*operator.Tier{{Name: name, DeadlineMillis: 1000}}})
+						if err == nil {
+							mu.Lock()
+							accepted[name] = reply.Version
+							mu.Unlock()
+						}
+						return err
+					})
+					mu.Lock()
+					kinds[status.Code(err).String()]++
+					mu.Unlock()
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+		operators.Wait()
+		newest := uint64(0)
+		for _, version := range accepted {
+			newest = max(newest, version)
+		}
+		healed := time.Now()
+		c.awaitVersion(newest)
+		GinkgoWriter.Println("changes:", kinds, "newest", newest, "everywhere after", time.Since(healed))
+		close(w.stop)
+		w.work.Wait()
+		Expect(w.reverts).To(BeEmpty())
+		Expect(len(accepted)).To(BeNumerically(">", 50))
+		for _, d := range c.daemons {
+			Expect(c.operate(d, func(ctx context.Context, client operator.OperatorClient) error {
+				reply, err := client.Describe(ctx, &operator.DescribeRequest{})
+				present := map[string]bool{}
+				for _, t := range reply.GetTiers() {
+					present[t.Name] = true
+				}
+				for name := range accepted {
+					Expect(present[name]).To(BeTrue(), "%s lost %s", d.host, name)
+				}
+				return err
+			})).To(Succeed())
+		}
+	})
+
+	It("lets one of two racing operators win and names the winner to the other", func() {
+		c := newCluster(2, centres[:1])
+		version := c.apply(c.daemons[0], users())
+		c.awaitVersion(version)
+		errs := make(chan error, 2)
+		for n, d := range c.daemons {
+			go func() {
+				errs <- c.operate(d, func(ctx context.Context, client operator.OperatorClient) error {
+					_, err := client.Apply(ctx, &operator.ApplyRequest{
+						ExpectedVersion: version, ChangeID: fmt.Sprintf("change-%d", n),
+						Tiers: []*operator.Tier{{Name: "raced", DeadlineMillis: int64(n + 1)}},
+					})
+					return err
+				})
+			}()
+		}
+		first, second := <-errs, <-errs
+		if first == nil {
+			first, second = second, first
+		}
+		Expect(second).NotTo(HaveOccurred())
+		Expect(status.Code(first)).To(Equal(codes.Aborted))
+		Expect(first.Error()).To(ContainSubstring("change change-"))
+	})
+
+	It("serves a daemon that starts while the platform is down from its peers", func() {
+		c := newCluster(2, centres[:1])
+		version := c.apply(c.daemons[0], users(smallFleet(c, centres[:1])...))
+		c.awaitVersion(version)
+		c.fault(downFault)
+		d := c.daemons[1]
+		d.kill()
+		d.args = append(d.args, "-peers", c.daemons[0].relay.address)
+		d.start()
+		c.awaitReady(d)
+		Expect(c.version(d)).To(Equal(version))
+	})
+})
