perf: choose among a subset, spread changes along trees, probe sessions only in use

Change: candidates are 16 local and 8 remote targets of a kind by rendezvous hashing, cached until a target changes; documents share untouched maps; the gate remembers guardians by epoch; counts replace scans; sessions are probed only while calls are open; changes go down a tree of fan-out 2 in each data centre, and digests only mend what was missed.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,19 @@
-# go test runs every test; SKIP takes a regular expression of system tests to pass over.
+# SKIP takes a regular expression of system tests to pass over; SEEDS the seeds of the
+# longer proofs.
 SKIP ?=
-SEEDS ?= 1 2 3
+SEEDS ?= 1 2 3 4 5 6 7 8
 
-.PHONY: test lint format
+.PHONY: test prove measure lint format
 test:
 	go test -count=1 -timeout 30m $$(go list ./... | grep -v /test$$)
-	go test -count=1 -timeout 60m ./test -ginkgo.skip='$(SKIP)'
+	go test -count=1 -timeout 60m ./test -ginkgo.label-filter='!measure' -ginkgo.skip='$(SKIP)'
+
+prove:
+	SEEDS="$(SEEDS)" go test -count=1 -timeout 120m -v ./test -ginkgo.label-filter='!measure' -ginkgo.focus='promise' -ginkgo.v -ginkgo.no-color
+
+measure:
+	go test -run '^$$' -bench . ./internal/...
+	go test -count=1 -timeout 60m -v ./test -ginkgo.label-filter=measure -ginkgo.v -ginkgo.no-color | grep -E 'daemons|load:|policy|FAIL|ok'
 
 lint:
 	go vet ./...
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -34,6 +34,7 @@
 
 	mu       sync.Mutex
 	total    int
+	active   int
 	accounts map[string]*state
 }
 
@@ -56,6 +57,9 @@
 	if a.RequestsPerSecond > 0 && !g.allow(s, a.RequestsPerSecond) {
 		return problem.New(problem.OverLimit, "account %q is over %g requests a second", a.Name, a.RequestsPerSecond)
 	}
+	if s.inFlight == 0 {
+		g.active++
+	}
 	s.inFlight++
 	g.total++
 	return nil
@@ -68,11 +72,9 @@
 	if float64(g.total) < open {
 		return false
 	}
-	active := 1
-	for _, other := range g.accounts {
-		if other != s && other.inFlight > 0 {
-			active++
-		}
+	active := g.active
+	if s.inFlight == 0 {
+		active++
 	}
 	return active > 1 && s.inFlight >= g.MaxInFlight/active
 }
@@ -100,8 +102,12 @@
 func (g *Gate) Leave(name string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.accounts[name].inFlight--
+	s := g.accounts[name]
+	s.inFlight--
 	g.total--
+	if s.inFlight == 0 {
+		g.active--
+	}
 }
 
 // Feasible refuses a deadline that is shorter than the typical durations together.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -85,11 +85,13 @@
 
 // Document is the whole configuration at one version; the zero value is empty.
 type Document struct {
-	Version   uint64
-	Pipelines map[string]pipeline.Pipeline
-	Tiers     map[string]tier.Tier
-	Accounts  map[string]account.Account
-	Targets   map[string]target.Target
+	Version uint64
+	// TargetsVersion is the version that last changed a target.
+	TargetsVersion uint64
+	Pipelines      map[string]pipeline.Pipeline
+	Tiers          map[string]tier.Tier
+	Accounts       map[string]account.Account
+	Targets        map[string]target.Target
 }
 
 // Apply returns the document after the change, which must lead to the next version.
@@ -97,13 +99,7 @@
 	if c.Version != d.Version+1 {
 		return d, problem.New(problem.Conflict, "change leads to version %d, the configuration is at %d", c.Version, d.Version)
 	}
-	next := Document{
-		Version:   c.Version,
-		Pipelines: clonePipelines(d.Pipelines),
-		Tiers:     cloneTiers(d.Tiers),
-		Accounts:  cloneAccounts(d.Accounts),
-		Targets:   cloneTargets(d.Targets),
-	}
+	next := d.copyFor(c)
 	for _, deletion := range c.Deletions {
 		next.remove(deletion)
 	}
@@ -122,6 +118,36 @@
 	return next, nil
 }
 
+// copyFor returns a copy that shares the maps which the change doesn't touch.
+func (d Document) copyFor(c Change) Document {
+	next := d
+	next.Version = c.Version
+	if c.touches(PipelineNoun, len(c.Pipelines)) {
+		next.Pipelines = clonePipelines(d.Pipelines)
+	}
+	if c.touches(TierNoun, len(c.Tiers)) {
+		next.Tiers = cloneTiers(d.Tiers)
+	}
+	if c.touches(AccountNoun, len(c.Accounts)) {
+		next.Accounts = cloneAccounts(d.Accounts)
+	}
+	if c.touches(TargetNoun, len(c.Targets)) {
+		next.Targets = cloneTargets(d.Targets)
+		next.TargetsVersion = c.Version
+	}
+	return next
+}
+
+// touches reports whether the change sets or deletes an object of the noun.
+func (c Change) touches(noun Noun, set int) bool {
+	for _, deletion := range c.Deletions {
+		if deletion.Noun == noun {
+			return true
+		}
+	}
+	return set > 0
+}
+
 func (d *Document) remove(deletion Deletion) {
 	switch deletion.Noun {
 	case PipelineNoun:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,6 +68,9 @@
 	turns    map[string]*sync.Mutex
 	moved    chan struct{}
 
+	spreadMu sync.Mutex
+	spread   spreadState
+
 	ready    atomic.Bool
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -107,7 +110,7 @@
 		CallTimeout: d.Settings.Platform.Timeout,
 	}
 	d.registry = &registry.Registry{Table: d.platform, Objects: d.platform, Log: d.log, Raised: d.changed}
-	d.fleet = &fleet.Fleet{Clock: d.Clock}
+	d.fleet = &fleet.Fleet{Clock: d.Clock, Host: d.Settings.Host, DataCentre: d.Settings.DataCentre}
 	d.links = &link.Pool{LocalAddress: hostOf(d.Settings.Address.Peer)}
 	d.peers = &peer.Client{LocalAddress: hostOf(d.Settings.Address.Peer)}
 	d.history = &history.Book{}
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -169,21 +169,31 @@
 		message.Changes = append(message.Changes, &peerpb.Change{Version: c.Version, ID: c.ID, Body: body})
 	}
 	if theirs.OrdersHash != d.registry.Hash() {
-		for _, o := range d.registry.Orders() {
-			message.Orders = append(message.Orders, &peerpb.OutOrder{ID: o.ID, DataCentre: o.DataCentre, Cancelled: o.Cancelled})
-		}
-	}
-	for incarnation, successor := range d.allHeirs() {
-		message.Heirs = append(message.Heirs, &peerpb.Heir{Incarnation: incarnation, Successor: successor})
+		message.Orders = d.orderMessages()
 	}
+	message.Heirs = heirMessages(d.allHeirs())
 	if theirs.Epoch != d.epochs() {
 		message.Members, err = json.Marshal(d.allViews())
 	}
 	return message, err
 }
 
-// takeIn raises the own state to that of another daemon.
+// takeIn raises the own state to that of another daemon and passes on what came along
+// a tree.
 func (d *Daemon) takeIn(message *peerpb.Changes, source string) error {
+	d.spreadMu.Lock()
+	err := d.raise(message, source)
+	if message.ID != "" {
+		d.markSpread()
+	}
+	d.spreadMu.Unlock()
+	if message.ID != "" && d.firstSight(message.ID) {
+		d.passOnChanges(message)
+	}
+	return err
+}
+
+func (d *Daemon) raise(message *peerpb.Changes, source string) error {
 	for _, o := range message.Orders {
 		d.registry.MergeOrder(datacentre.Order{ID: o.ID, DataCentre: o.DataCentre, Cancelled: o.Cancelled})
 	}
@@ -216,27 +226,3 @@
 	}
 	return d.registry.Raise(changes, source)
 }
-
-// changed wakes the task that pushes changes on.
-func (d *Daemon) changed() {
-	select {
-	case d.moved <- struct{}{}:
-	default:
-	}
-}
-
-// pushChanges brings the neighbours up as soon as the own state has changed.
-func (d *Daemon) pushChanges(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-d.moved:
-		}
-		for _, n := range d.neighbours() {
-			d.background(func(ctx context.Context) {
-				_ = d.exchange(ctx, n.member.PeerAddress)
-			})
-		}
-	}
-}
--- a/internal/daemon/member.go
+++ b/internal/daemon/member.go
@@ -27,15 +27,18 @@
 
 // How the reads of the platform's table are shared.
 const (
-	// pollers is the number of daemons of a data centre that poll at each interval.
+	// pollers is the number of daemons of a data centre that poll often, sweep members
+	// and look after drafts.
 	pollers = 2
+	// standbyEvery is the number of intervals between the polls of those behind the first.
+	standbyEvery = 3
 	// backupEvery is the number of intervals between the polls of the others.
 	backupEvery = 10
 	// maxDataCentres bounds the views read in one scan.
 	maxDataCentres = 100
-	// reportSubset bounds the targets of each data centre whose reports a daemon reads.
-	reportSubset = 16
-	joinTries    = 5
+	// reportsAtOnce is the number of targets whose reports a daemon reads at each interval.
+	reportsAtOnce = 8
+	joinTries     = 5
 )
 
 // adoptedState is what this daemon has told the members of its epoch.
@@ -49,7 +52,7 @@
 // pollInTurn polls if it is this daemon's turn.
 func (d *Daemon) pollInTurn(ctx context.Context) error {
 	d.adopted.turn++
-	if !d.poller() && d.adopted.turn%backupEvery != 0 && d.registry.Loaded() {
+	if d.adopted.turn%d.pollTurns() != 0 {
 		return nil
 	}
 	d.poll(ctx)
@@ -63,12 +66,34 @@
 	if _, ok := view.Member(d.incarnation); !ok {
 		return true
 	}
+	return d.pollRank(view) < pollers
+}
+
+// pollRank is this daemon's place among the members of its data centre.
+func (d *Daemon) pollRank(view membership.View) int {
 	for i, m := range view.Ranked("poller") {
 		if m.Incarnation == d.incarnation {
-			return i < pollers
+			return i
 		}
 	}
-	return false
+	return pollers
+}
+
+// pollTurns returns the number of intervals between this daemon's polls: the first
+// poller reads at each, the others stand by.
+func (d *Daemon) pollTurns() int {
+	view := d.fleet.View()
+	if _, ok := view.Member(d.incarnation); !ok || !d.registry.Loaded() {
+		return 1
+	}
+	switch rank := d.pollRank(view); {
+	case rank == 0:
+		return 1
+	case rank < pollers:
+		return standbyEvery
+	default:
+		return backupEvery
+	}
 }
 
 // poll reads the configuration, the memberships and the host list.
@@ -254,16 +279,12 @@
 	return converted
 }
 
-// readReports asks a subset of this data centre's targets for their reports.
-func (d *Daemon) readReports(ctx context.Context) error {
-	asked := 0
-	for _, contract := range d.registry.Document().Targets {
-		if contract.DataCentre != d.Settings.DataCentre || asked >= reportSubset {
-			continue
-		}
-		asked++
+// readReports asks a few of this data centre's targets in turn for their reports. Load
+// and warmth mostly ride on answers; this is for targets that answer little.
+func (d *Daemon) readReports(context.Context) error {
+	for _, contract := range d.fleet.Local(d.registry.Document(), reportsAtOnce) {
 		d.background(func(ctx context.Context) {
-			conn, err := d.links.Dial(ctx, contract)
+			conn, err := d.links.Report(ctx, contract)
 			if err != nil {
 				return
 			}
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -85,16 +85,15 @@
 	}
 	d.metrics = set
 	d.runner = &run.Runner{
-		DataCentre: d.Settings.DataCentre,
-		Clock:      d.Clock,
-		Policy:     router.Policy(d.Settings.Policy),
-		Fleet:      d.fleet,
-		Links:      d.links,
-		Peers:      d.peers,
-		World:      d,
-		Log:        d.log,
-		History:    d.history,
-		Metrics:    set,
+		Clock:   d.Clock,
+		Policy:  router.Policy(d.Settings.Policy),
+		Fleet:   d.fleet,
+		Links:   d.links,
+		Peers:   d.peers,
+		World:   d,
+		Log:     d.log,
+		History: d.history,
+		Metrics: set,
 	}
 	return nil
 }
@@ -145,7 +144,7 @@
 	t := d.Settings.Timing
 	d.tasks.start(ctx, "poll", d.every(t.Poll, "poll", d.pollInTurn))
 	d.tasks.start(ctx, "gossip", d.every(t.Gossip, "gossip", d.gossip))
-	d.tasks.start(ctx, "push", d.pushChanges)
+	d.tasks.start(ctx, "spread", d.spreadChanges)
 	d.tasks.start(ctx, "adoption", d.every(adoptionInterval, "adoption", d.announceAdoption))
 	d.tasks.start(ctx, "reports", d.every(t.Report, "reports", d.readReports))
 	d.tasks.start(ctx, "sweep", d.every(sweepInterval, "sweep", d.sweep))
@@ -211,7 +210,7 @@
 }
 
 func stopTasks(d *Daemon, _ context.Context) error {
-	for _, name := range []string{"poll", "gossip", "push", "adoption", "reports", "sweep", "pause"} {
+	for _, name := range []string{"poll", "gossip", "spread", "adoption", "reports", "sweep", "pause"} {
 		if err := d.tasks.stop(name); err != nil {
 			return err
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	f := &fleet.Fleet{Clock: clock}
-//	candidates := f.Candidates(document, "llm", dataCentre, out)
+//	candidates := f.Candidates(document, "llm", out)
 //	switch d := f.Reserve(contract, local).(type) { ... }
 //	f.Release(contract.Name, d.Cold)
 package fleet
@@ -43,6 +43,9 @@
 // Fleet is safe for concurrent use.
 type Fleet struct {
 	Clock clockwork.Clock
+	// Host and DataCentre are those of this daemon.
+	Host       string
+	DataCentre string
 
 	mu      sync.Mutex
 	gate    guardian.Gate
@@ -51,6 +54,9 @@
 	changed chan struct{}
 	turn    int
 	holds   []hold
+	subsets subsets
+	// reportTurn is the place of the last target that Local returned.
+	reportTurn int
 }
 
 // hold is a place at a cold target whose request may still be running there.
@@ -93,20 +99,21 @@
 func (Forward) reservation() {}
 func (Refused) reservation() {}
 
-// Candidates returns the targets of the kind for the router.
-func (f *Fleet) Candidates(document catalog.Document, kind, dataCentre string, out func(string) bool) []router.Candidate {
+// Candidates returns this daemon's subset of the kind's targets for the router.
+func (f *Fleet) Candidates(document catalog.Document, kind string, out func(string) bool) []router.Candidate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
 	f.expire(now)
-	var candidates []router.Candidate
-	for _, contract := range document.OfKind(kind) {
-		candidates = append(candidates, f.candidate(now, contract, dataCentre, out(contract.DataCentre)))
+	subset := f.subset(document, kind)
+	candidates := make([]router.Candidate, 0, len(subset))
+	for _, contract := range subset {
+		candidates = append(candidates, f.candidate(now, contract, out(contract.DataCentre)))
 	}
 	return candidates
 }
 
-func (f *Fleet) candidate(now time.Time, contract target.Target, dataCentre string, out bool) router.Candidate {
+func (f *Fleet) candidate(now time.Time, contract target.Target, out bool) router.Candidate {
 	s := f.state(contract.Name)
 	typical, _ := f.book.Target(contract.Name)
 	c := router.Candidate{
@@ -115,7 +122,7 @@
 		Leaving:  contract.Leaving || s.leaving || s.listed,
 		Out:      out,
 		Suspect:  now.Sub(s.suspect) < SuspectFor,
-		Local:    contract.DataCentre == dataCentre,
+		Local:    contract.DataCentre == f.DataCentre,
 		InFlight: f.gate.InFlight(contract.Name),
 		Reported: s.report.Running + s.report.Queued,
 		Typical:  typical,
--- /dev/null
+++ b/internal/fleet/subset.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiapick/sequoiapick/internal/catalog"
+	"github.com/sequoiapick/sequoiapick/pkg/target"
+)
+
+// How many targets of one kind a daemon chooses among.
+const (
+	// LocalSubset bounds those of its own data centre.
+	LocalSubset = 16
+	// RemoteSubset bounds those of all other data centres together.
+	RemoteSubset = 8
+)
+
+// subsets are the targets that this daemon chooses among, by kind, for one state of
+// the configured targets.
+type subsets struct {
+	version uint64
+	byKind  map[string][]target.Target
+}
+
+// subset returns the targets of the kind that this daemon chooses among. Daemons take
+// different subsets, by rendezvous hashing, so that together they use every target.
+func (f *Fleet) subset(document catalog.Document, kind string) []target.Target {
+	if f.subsets.version != document.TargetsVersion || f.subsets.byKind == nil {
+		f.subsets = subsets{version: document.TargetsVersion, byKind: map[string][]target.Target{}}
+	}
+	if known, ok := f.subsets.byKind[kind]; ok {
+		return known
+	}
+	chosen := f.choose(document.OfKind(kind))
+	f.subsets.byKind[kind] = chosen
+	return chosen
+}
+
+func (f *Fleet) choose(contracts []target.Target) []target.Target {
+	sort.SliceStable(contracts, func(i, j int) bool {
+		return xxhash.Sum64String(f.Host+contracts[i].Name) < xxhash.Sum64String(f.Host+contracts[j].Name)
+	})
+	var chosen []target.Target
+	local, remote := 0, 0
+	for _, contract := range contracts {
+		switch {
+		case contract.DataCentre == f.DataCentre && local < LocalSubset:
+			local++
+		case contract.DataCentre != f.DataCentre && remote < RemoteSubset:
+			remote++
+		default:
+			continue
+		}
+		chosen = append(chosen, contract)
+	}
+	sort.Slice(chosen, func(i, j int) bool { return chosen[i].Name < chosen[j].Name })
+	return chosen
+}
+
+// Local returns up to count targets of this data centre's subsets, going on from the
+// place where the last call ended.
+func (f *Fleet) Local(document catalog.Document, count int) []target.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var local []target.Target
+	for _, contract := range document.Targets {
+		if contract.DataCentre == f.DataCentre {
+			local = append(local, contract)
+		}
+	}
+	if len(local) == 0 {
+		return nil
+	}
+	sort.Slice(local, func(i, j int) bool { return local[i].Name < local[j].Name })
+	var next []target.Target
+	for range min(count, len(local)) {
+		f.reportTurn++
+		next = append(next, local[f.reportTurn%len(local)])
+	}
+	return next
+}
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -62,6 +62,7 @@
 type Gate struct {
 	self      string
 	view      membership.View
+	guardians map[string]membership.Member
 	peers     map[string]adoption
 	inFlight  map[string]int
 	cold      map[string]int
@@ -100,6 +101,7 @@
 	g.noteDepartures(now, view)
 	g.self = self
 	g.view = view
+	clear(g.guardians)
 	g.forgetPeers(now)
 	return true
 }
@@ -167,7 +169,7 @@
 // Elsewhere or Nobody. It takes no place.
 func (g *Gate) Active(now time.Time, contract target.Target) Decision {
 	g.init()
-	m, ok := g.view.Guardian(contract.Name)
+	m, ok := g.guardian(contract.Name)
 	if !ok {
 		return Nobody{}
 	}
@@ -180,6 +182,18 @@
 	return Granted{}
 }
 
+// guardian returns the guardian of the target in the adopted view.
+func (g *Gate) guardian(name string) (membership.Member, bool) {
+	if m, ok := g.guardians[name]; ok {
+		return m, true
+	}
+	m, ok := g.view.Guardian(name)
+	if ok {
+		g.guardians[name] = m
+	}
+	return m, ok
+}
+
 // room reports whether the target bears one more request.
 func (g *Gate) room(now time.Time, contract target.Target) (bool, Full) {
 	occupied := g.inFlight[contract.Name] + g.busyElsewhere(contract.Name) + g.orphaned(now, contract)
@@ -267,9 +281,10 @@
 // Busy returns the requests that Acquire let through to targets that this daemon no
 // longer guards.
 func (g *Gate) Busy() map[string]int {
+	g.init()
 	busy := map[string]int{}
 	for name, n := range g.cold {
-		if m, ok := g.view.Guardian(name); !ok || m.Incarnation != g.self {
+		if m, ok := g.guardian(name); !ok || m.Incarnation != g.self {
 			busy[name] = n
 		}
 	}
@@ -280,6 +295,7 @@
 	if g.peers != nil {
 		return
 	}
+	g.guardians = map[string]membership.Member{}
 	g.peers = map[string]adoption{}
 	g.inFlight = map[string]int{}
 	g.cold = map[string]int{}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -167,6 +167,21 @@
 	return conn, nil
 }
 
+// Report asks the target for its report, over an idle connection if there is one.
+func (p *Pool) Report(ctx context.Context, contract target.Target) (*Conn, error) {
+	conn := p.Take(contract)
+	if conn == nil {
+		return p.Dial(ctx, contract)
+	}
+	ctx, cancel := context.WithTimeout(ctx, ProofTimeout)
+	defer cancel()
+	if err := conn.prove(ctx); err != nil {
+		p.Close(conn)
+		return nil, notSent("report", err)
+	}
+	return conn, nil
+}
+
 // Keep returns a connection after a whole answer. It is closed instead if anything
 // unasked arrived on it, or if the target doesn't say which attempt it answers.
 func (p *Pool) Keep(conn *Conn) {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -65,11 +65,13 @@
 
 // Guardian returns the member that guards the target, by rendezvous hashing over hosts.
 func (v View) Guardian(target string) (Member, bool) {
-	ranked := v.Ranked(target)
-	if len(ranked) == 0 {
-		return Member{}, false
+	best, highest := Member{}, uint64(0)
+	for _, m := range v.Members {
+		if s := score(m.Host, target); s >= highest {
+			best, highest = m, s
+		}
 	}
-	return ranked[0], true
+	return best, len(v.Members) > 0
 }
 
 // Ranked returns the members in rendezvous order for the name.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,8 +1,9 @@
 // Package peer carries calls between daemons: yamux streams over TCP, each with one
 // call and its replies as length-delimited protobuf messages.
 //
-// A session whose keepalive goes unanswered is closed, which fails its streams, and
-// the next call dials anew; a connection that went silent is thus found in seconds.
+// A session that has calls open is probed every second. One that doesn't answer is
+// closed, which fails its calls, and the next call dials anew; a connection that went
+// silent is thus found in seconds.
 //
 // # Usage
 //
@@ -32,9 +33,11 @@
 
 // Timings of a session.
 const (
-	DialTimeout       = time.Second
-	KeepaliveInterval = time.Second
-	WriteTimeout      = time.Second
+	DialTimeout  = time.Second
+	WriteTimeout = time.Second
+	// PingInterval is the time between two probes of a session that has calls open. An
+	// idle session isn't probed, since it costs nothing until the next call.
+	PingInterval = time.Second
 	// IdleTimeout is the time without a call after which a session is closed.
 	IdleTimeout = time.Minute
 	// MaxMessageBytes bounds one message.
@@ -189,9 +192,29 @@
 	}
 	c.closeIdle()
 	c.sessions[address] = &session{mux: mux, used: time.Now()}
+	go probe(mux)
 	return mux
 }
 
+// probe closes a session that has calls open and doesn't answer; it ends with the session.
+func probe(mux *yamux.Session) {
+	ticker := time.NewTicker(PingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-mux.CloseChan():
+			return
+		case <-ticker.C:
+		}
+		if mux.NumStreams() == 0 {
+			continue
+		}
+		if _, err := mux.Ping(); err != nil {
+			_ = mux.Close()
+		}
+	}
+}
+
 func (c *Client) closeIdle() {
 	for address, s := range c.sessions {
 		idle := time.Since(s.used) > IdleTimeout && s.mux.NumStreams() == 0
@@ -295,8 +318,7 @@
 
 func muxConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
-	config.EnableKeepAlive = true
-	config.KeepAliveInterval = KeepaliveInterval
+	config.EnableKeepAlive = false
 	config.ConnectionWriteTimeout = WriteTimeout
 	config.StreamCloseTimeout = 2 * WriteTimeout
 	config.LogOutput = io.Discard
--- a/internal/run/race.go
+++ b/internal/run/race.go
@@ -173,7 +173,7 @@
 		return nil
 	}
 	s.tried[first.Target.Name] = true
-	candidates := s.runner.Fleet.Candidates(s.job.Document, s.stage.Kind, s.runner.DataCentre, s.runner.World.Out)
+	candidates := s.runner.Fleet.Candidates(s.job.Document, s.stage.Kind, s.runner.World.Out)
 	var warm []router.Candidate
 	for _, c := range candidates {
 		if c.Warm && !s.tried[c.Target.Name] {
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -45,17 +45,16 @@
 
 // Runner runs requests.
 type Runner struct {
-	DataCentre string
-	Clock      clockwork.Clock
-	Policy     router.Policy
-	Fleet      *fleet.Fleet
-	Links      *link.Pool
-	Peers      *peer.Client
-	World      World
-	Log        event.Log
-	History    *history.Book
-	Metrics    *metric.Set
-	Budget     Budget
+	Clock   clockwork.Clock
+	Policy  router.Policy
+	Fleet   *fleet.Fleet
+	Links   *link.Pool
+	Peers   *peer.Client
+	World   World
+	Log     event.Log
+	History *history.Book
+	Metrics *metric.Set
+	Budget  Budget
 }
 
 // Checkpoints keeps the results of finished stages of a request that outlives its daemon.
--- a/internal/run/stage.go
+++ b/internal/run/stage.go
@@ -71,7 +71,7 @@
 func (s *stageRun) choose(ctx context.Context) (*router.Candidate, error) {
 	r := s.runner
 	changed := r.Fleet.Changed()
-	candidates := r.Fleet.Candidates(s.job.Document, s.stage.Kind, r.DataCentre, r.World.Out)
+	candidates := r.Fleet.Candidates(s.job.Document, s.stage.Kind, r.World.Out)
 	for i := range candidates {
 		candidates[i].Tried = s.tried[candidates[i].Target.Name]
 	}
--- a/pkg/datacentre/datacentre.go
+++ b/pkg/datacentre/datacentre.go
@@ -26,24 +26,33 @@
 // Orders is a set of orders; the zero value is empty.
 type Orders struct {
 	byID map[string]Order
+	// inForce counts the orders in force by data centre.
+	inForce map[string]int
 }
 
 // Merge adds what is new in the order and reports whether anything was.
 func (o *Orders) Merge(order Order) bool {
 	if o.byID == nil {
 		o.byID = map[string]Order{}
+		o.inForce = map[string]int{}
 	}
 	known, ok := o.byID[order.ID]
 	if ok && (known.Cancelled || !order.Cancelled) {
 		return false
 	}
+	if ok && !known.Cancelled {
+		o.inForce[known.DataCentre]--
+	}
+	if !order.Cancelled {
+		o.inForce[order.DataCentre]++
+	}
 	o.byID[order.ID] = order
 	return true
 }
 
 // Out reports whether an order is in force for the data centre.
 func (o *Orders) Out(dataCentre string) bool {
-	return len(o.InForce(dataCentre)) > 0
+	return o.inForce[dataCentre] > 0
 }
 
 // InForce returns the orders for the data centre that are not cancelled, by ID.
--- a/test/relay_test.go
+++ b/test/relay_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	. "github.com/onsi/gomega"
 )
@@ -19,6 +20,7 @@
 	cut    []string
 	silent map[net.Conn]bool
 	conns  map[net.Conn]bool
+	bytes  atomic.Int64
 }
 
 func newRelay(address, target string) *relay {
@@ -82,6 +84,7 @@
 		m.r.mu.Lock()
 		silent := m.r.silent[m.conn]
 		m.r.mu.Unlock()
+		m.r.bytes.Add(int64(n))
 		if !silent || err != nil {
 			return n, err
 		}
