feat(policy): give places to waiting stages by the latest time they can start

A queue per kind of target, ordered by the latest start that still meets the deadline, replaces the race of all waiters for each free place; a request is refused early when its stages behind the more urgent ones can't end in time. The baselines (RoundRobin, LeastReported) serve in order of arrival.

--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiapick/sequoiapick/internal/event"
 	"github.com/sequoiapick/sequoiapick/internal/idempotency"
 	"github.com/sequoiapick/sequoiapick/internal/request"
+	"github.com/sequoiapick/sequoiapick/internal/router"
 	"github.com/sequoiapick/sequoiapick/internal/run"
 	"github.com/sequoiapick/sequoiapick/pkg/account"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
@@ -167,16 +168,26 @@
 	return d.admission.Enter(owner)
 }
 
-// feasible refuses a request whose stages, at their typical durations, can't end in time.
+// feasible refuses a request whose stages, at their typical durations and behind the
+// more urgent stages that wait, can't end in time.
 func (d *Daemon) feasible(job run.Job) error {
+	if d.runner.Policy != router.Price {
+		return nil
+	}
 	p := job.Document.Pipelines[job.Request.Pipeline]
 	var typical []time.Duration
+	total := time.Duration(0)
 	for _, s := range p.Stages {
 		median, ok := d.fleet.Quantile(s.Kind, 0.5)
 		if !ok {
 			return nil
 		}
 		typical = append(typical, median)
+		total += median
+	}
+	startBy := job.Request.Deadline.Add(-total)
+	for _, s := range p.Stages {
+		typical = append(typical, d.runner.QueueDelay(job.Document, s.Kind, startBy))
 	}
 	return d.admission.Feasible(job.Request.Deadline, typical)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,7 +51,6 @@
 	gate    guardian.Gate
 	states  map[string]*state
 	book    latency.Book
-	changed chan struct{}
 	turn    int
 	holds   []hold
 	subsets subsets
@@ -220,7 +219,7 @@
 	return s.report.Incarnation
 }
 
-// Release ends a direct send and wakes those who wait for capacity.
+// Release ends a direct send.
 func (f *Fleet) Release(name string, cold bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -229,7 +228,6 @@
 	} else {
 		f.gate.Leave(name)
 	}
-	f.wake()
 }
 
 // Hold keeps the place of a cold send taken until the time, or until another
@@ -271,7 +269,6 @@
 	if !report.Cold && report.Incarnation != "" {
 		s.warmAt = now
 	}
-	f.wake()
 	return Seen{
 		TurnedCold:    wasWarm && !s.warm(now),
 		TurnedLeaving: report.Leaving && !wasLeaving,
@@ -355,23 +352,6 @@
 	return f.turn
 }
 
-// Changed returns a channel that is closed when capacity may have become free.
-func (f *Fleet) Changed() <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.changed == nil {
-		f.changed = make(chan struct{})
-	}
-	return f.changed
-}
-
-func (f *Fleet) wake() {
-	if f.changed != nil {
-		close(f.changed)
-		f.changed = nil
-	}
-}
-
 // View returns the adopted membership of this data centre.
 func (f *Fleet) View() membership.View {
 	f.mu.Lock()
@@ -383,7 +363,6 @@
 func (f *Fleet) Adopt(self string, view membership.View) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	defer f.wake()
 	return f.gate.Adopt(f.Clock.Now(), self, view)
 }
 
@@ -391,7 +370,6 @@
 func (f *Fleet) PeerAdopted(incarnation string, epoch uint64, busy map[string]int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	defer f.wake()
 	f.gate.PeerAdopted(incarnation, epoch, busy)
 }
 
--- a/internal/run/race.go
+++ b/internal/run/race.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/fleet"
 	"github.com/sequoiapick/sequoiapick/internal/link"
 	"github.com/sequoiapick/sequoiapick/internal/router"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
@@ -40,11 +41,11 @@
 
 const nobody = -1
 
-// race sends the stage to the candidate and returns the whole output.
-func (s *stageRun) race(ctx context.Context, candidate router.Candidate) ([]byte, error) {
+// race sends the stage to the target of the place and returns the whole output.
+func (s *stageRun) race(ctx context.Context, p place) ([]byte, error) {
 	s.runner.Budget.Earn()
 	rc := &race{stage: s, ended: make(chan *entrant, 2), winner: nobody}
-	first := rc.start(ctx, 0, candidate)
+	first := rc.start(ctx, 0, p)
 	defer first.cancel()
 	running := map[*entrant]bool{first: true}
 	timer := s.hedgeTimer()
@@ -61,7 +62,7 @@
 			}
 			failure = worse(failure, e.err)
 		case <-timer.fired():
-			if second := s.hedge(ctx, rc, candidate); second != nil {
+			if second := s.hedge(ctx, rc, p.candidate); second != nil {
 				defer second.cancel()
 				running[second] = true
 			}
@@ -99,12 +100,12 @@
 }
 
 // start begins an attempt, whose end arrives on the race's channel.
-func (rc *race) start(ctx context.Context, index int, candidate router.Candidate) *entrant {
+func (rc *race) start(ctx context.Context, index int, p place) *entrant {
 	ctx, cancel := context.WithCancel(ctx)
-	e := &entrant{index: index, target: candidate, cancel: cancel}
+	e := &entrant{index: index, target: p.candidate, cancel: cancel}
 	attempt := rc.stage.attempt()
 	go func() {
-		e.result, e.err = rc.stage.send(ctx, candidate, attempt, func(text []byte) error {
+		e.result, e.err = rc.stage.send(ctx, p, attempt, func(text []byte) error {
 			return rc.text(e, text)
 		})
 		if e.err == nil {
@@ -181,11 +182,20 @@
 		}
 	}
 	decision, ok := router.Choose(router.Question{Policy: s.runner.Policy, Candidates: warm, Turn: s.runner.Fleet.Turn()}).(router.Send)
-	if !ok || !s.runner.Budget.Spend() {
+	if !ok {
+		return nil
+	}
+	contract := decision.Candidate.Target
+	reservation, direct := s.runner.Fleet.Reserve(contract, decision.Candidate.Local, s.runner.World.View(contract.DataCentre)).(fleet.Direct)
+	if !direct {
+		return nil
+	}
+	if !s.runner.Budget.Spend() {
+		s.runner.Fleet.Release(contract.Name, reservation.Cold)
 		return nil
 	}
 	s.note(event.AttemptHedged, "Hedge", decision.Candidate.Target.Name, "no answer yet from "+first.Target.Name, names(candidates))
-	return rc.start(ctx, 1, decision.Candidate)
+	return rc.start(ctx, 1, place{candidate: decision.Candidate, reservation: reservation})
 }
 
 // hedgeTimer fires when the stage is slower than almost all others of its kind.
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -55,6 +54,8 @@
 	History *history.Book
 	Metrics *metric.Set
 	Budget  Budget
+	// Schedule holds the stages that wait for a target.
+	Schedule Schedule
 }
 
 // Checkpoints keeps the results of finished stages of a request that outlives its daemon.
@@ -144,13 +145,14 @@
 // stage runs one stage until it has a whole output, or can't have one.
 func (r *Runner) stage(ctx context.Context, job Job, p pipeline.Pipeline, i int, input []byte) ([]byte, request.StageCost, error) {
 	s := &stageRun{
-		runner: r,
-		job:    job,
-		stage:  p.Stages[i],
-		share:  r.share(job, p, i),
-		input:  input,
-		tried:  map[string]bool{},
-		cost:   request.StageCost{Stage: p.Stages[i].Name},
+		runner:   r,
+		job:      job,
+		pipeline: p,
+		index:    i,
+		stage:    p.Stages[i],
+		input:    input,
+		tried:    map[string]bool{},
+		cost:     request.StageCost{Stage: p.Stages[i].Name},
 	}
 	if i == len(p.Stages)-1 {
 		s.sink = job.Sink
@@ -161,26 +163,6 @@
 	return output, s.cost, err
 }
 
-// share returns the part of the remaining time that belongs to the stage, by the
-// measured durations of the stages that remain.
-func (r *Runner) share(job Job, p pipeline.Pipeline, i int) time.Duration {
-	remaining := job.Request.Deadline.Sub(r.Clock.Now())
-	own, total := time.Duration(0), time.Duration(0)
-	for n := i; n < len(p.Stages); n++ {
-		d, ok := r.Fleet.Quantile(p.Stages[n].Kind, shareQuantile)
-		if !ok {
-			return remaining / time.Duration(len(p.Stages)-i)
-		}
-		if n == i {
-			own = d
-		}
-		total += d
-	}
-	return time.Duration(float64(remaining) * float64(own) / float64(total))
-}
-
-const shareQuantile = 0.9
-
 // names returns the candidates in the form of the log and the history.
 func names(candidates []router.Candidate) []string {
 	list := make([]string, 0, len(candidates))
--- /dev/null
+++ b/internal/run/schedule.go
@@ -0,0 +1,220 @@
+package run
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/catalog"
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/fleet"
+	"github.com/sequoiapick/sequoiapick/internal/queue"
+	"github.com/sequoiapick/sequoiapick/internal/router"
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+)
+
+// serveAtOnce bounds the waiting stages that are looked at when a place becomes free.
+const serveAtOnce = 16
+
+// Schedule gives free places at targets to the stages that wait, the most urgent
+// first; the zero value works.
+type Schedule struct {
+	mu    sync.Mutex
+	kinds map[string]*queue.Queue
+}
+
+// place is a place at a target that is reserved for a stage.
+type place struct {
+	candidate   router.Candidate
+	reservation fleet.Reservation
+	err         error
+}
+
+// waiting is a stage in the queue.
+type waiting struct {
+	stage *stageRun
+	given chan place
+}
+
+func (s *Schedule) queue(kind string) *queue.Queue {
+	if s.kinds == nil {
+		s.kinds = map[string]*queue.Queue{}
+	}
+	q := s.kinds[kind]
+	if q == nil {
+		q = &queue.Queue{}
+		s.kinds[kind] = q
+	}
+	return q
+}
+
+// Ahead returns the number of stages of the kind that must start before the time.
+func (s *Schedule) Ahead(kind string, startBy time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue(kind).Ahead(startBy)
+}
+
+// obtain waits for a place for the stage.
+func (s *stageRun) obtain(ctx context.Context) place {
+	r := s.runner
+	w := &waiting{stage: s, given: make(chan place, 1)}
+	entry := &queue.Waiter{StartBy: s.startBy(), Owner: w}
+	r.Schedule.mu.Lock()
+	r.Schedule.queue(s.stage.Kind).Push(entry)
+	r.Schedule.mu.Unlock()
+	r.serve(s.stage.Kind)
+	timer := r.Clock.NewTicker(router.MaxHold)
+	defer timer.Stop()
+	for {
+		select {
+		case p := <-w.given:
+			return p
+		case <-timer.Chan():
+			r.serveIfFirst(s.stage.Kind, entry)
+		case <-ctx.Done():
+			r.withdraw(s.stage.Kind, entry, w)
+			return place{err: ended(ctx)}
+		}
+	}
+}
+
+// withdraw takes a stage out of the queue and frees the place that it was just given.
+func (r *Runner) withdraw(kind string, entry *queue.Waiter, w *waiting) {
+	r.Schedule.mu.Lock()
+	removed := r.Schedule.queue(kind).Remove(entry)
+	r.Schedule.mu.Unlock()
+	if removed {
+		return
+	}
+	p := <-w.given
+	if d, ok := p.reservation.(fleet.Direct); ok {
+		r.Fleet.Release(p.candidate.Target.Name, d.Cold)
+	}
+}
+
+// serve gives places to the most urgent stages of the kind.
+func (r *Runner) serve(kind string) {
+	r.Schedule.mu.Lock()
+	defer r.Schedule.mu.Unlock()
+	q := r.Schedule.queue(kind)
+	for _, entry := range q.First(serveAtOnce) {
+		w := entry.Owner.(*waiting)
+		p, done := w.stage.decide()
+		if done {
+			q.Remove(entry)
+			w.given <- p
+		}
+	}
+}
+
+// serveIfFirst serves the queue if the waiter is at its front, so that of all that wait
+// only one looks again from time to time.
+func (r *Runner) serveIfFirst(kind string, entry *queue.Waiter) {
+	r.Schedule.mu.Lock()
+	first := r.Schedule.queue(kind).First(1)
+	r.Schedule.mu.Unlock()
+	if len(first) == 1 && first[0] == entry {
+		r.serve(kind)
+	}
+}
+
+// QueueDelay estimates how long a stage of the kind waits behind the more urgent ones.
+func (r *Runner) QueueDelay(document catalog.Document, kind string, startBy time.Time) time.Duration {
+	typical, ok := r.Fleet.Quantile(kind, medianQuantile)
+	ahead := r.Schedule.Ahead(kind, startBy)
+	if !ok || ahead == 0 {
+		return 0
+	}
+	places := 0
+	for _, c := range r.Fleet.Candidates(document, kind, r.World.Out) {
+		if c.Warm && !c.Leaving && !c.Out {
+			places += c.Target.WarmLimit()
+		}
+	}
+	return typical * time.Duration(ahead) / time.Duration(max(places, 1))
+}
+
+// decide asks the router for the stage and reserves the place. It isn't done while no
+// target should be used.
+func (s *stageRun) decide() (p place, done bool) {
+	r := s.runner
+	candidates := r.Fleet.Candidates(s.job.Document, s.stage.Kind, r.World.Out)
+	for i := range candidates {
+		candidates[i].Tried = s.tried[candidates[i].Target.Name]
+	}
+	question := router.Question{Policy: r.Policy, Candidates: candidates, Share: s.share(), Turn: r.Fleet.Turn()}
+	if r.Policy == router.Price && s.hopeless() {
+		s.note(event.StageRefused, "Refuse", "", "the time left is shorter than the stage typically takes", names(candidates))
+		return place{err: problem.New(problem.Infeasible, "stage %q: the time left is too short", s.stage.Name)}, true
+	}
+	switch d := router.Choose(question).(type) {
+	case router.Send:
+		reservation := r.Fleet.Reserve(d.Candidate.Target, d.Candidate.Local, r.World.View(d.Candidate.Target.DataCentre))
+		if _, refused := reservation.(fleet.Refused); refused {
+			return place{}, false
+		}
+		s.note(event.StageRouted, "Send", d.Candidate.Target.Name, d.Reason, names(candidates))
+		return place{candidate: d.Candidate, reservation: reservation}, true
+	case router.Refuse:
+		s.note(event.StageRefused, "Refuse", "", d.Reason, names(candidates))
+		return place{err: problem.New(d.Kind, "stage %q: %s", s.stage.Name, d.Reason)}, true
+	case router.Wait:
+		if !s.held {
+			s.note(event.StageHeld, "Hold", "", d.Reason, names(candidates))
+		}
+		s.held = true
+		return place{}, false
+	default:
+		return place{err: problem.New(problem.Internal, "unknown routing decision %T", d)}, true
+	}
+}
+
+// hopeless reports whether the stages that remain can't be expected to end in time, even
+// if they started now and went well.
+func (s *stageRun) hopeless() bool {
+	best, ok := s.remaining(hopefulQuantile)
+	return ok && s.runner.Clock.Now().Add(best).After(s.job.Request.Deadline)
+}
+
+// startBy is the latest time at which the stage can start and still end in time.
+func (s *stageRun) startBy() time.Time {
+	if s.runner.Policy != router.Price {
+		return s.runner.Clock.Now() // the baselines serve in the order of arrival
+	}
+	typical, _ := s.remaining(medianQuantile)
+	return s.job.Request.Deadline.Add(-typical)
+}
+
+// remaining returns a quantile of the durations of this stage and those behind it, and
+// whether all are known.
+func (s *stageRun) remaining(q float64) (time.Duration, bool) {
+	total := time.Duration(0)
+	for _, stage := range s.pipeline.Stages[s.index:] {
+		d, ok := s.runner.Fleet.Quantile(stage.Kind, q)
+		if !ok {
+			return 0, false
+		}
+		total += d
+	}
+	return total, true
+}
+
+// share returns the part of the remaining time that belongs to the stage, by the
+// measured durations of the stages that remain.
+func (s *stageRun) share() time.Duration {
+	left := s.job.Request.Deadline.Sub(s.runner.Clock.Now())
+	own, ok := s.runner.Fleet.Quantile(s.stage.Kind, shareQuantile)
+	total, all := s.remaining(shareQuantile)
+	if !ok || !all {
+		return left / time.Duration(len(s.pipeline.Stages)-s.index)
+	}
+	return time.Duration(float64(left) * float64(own) / float64(total))
+}
+
+// The quantiles of stage durations that decisions are based on.
+const (
+	shareQuantile   = 0.9
+	medianQuantile  = 0.5
+	hopefulQuantile = 0.1
+)
--- a/internal/run/send.go
+++ b/internal/run/send.go
@@ -10,36 +10,36 @@
 	"github.com/sequoiapick/sequoiapick/internal/membership"
 	"github.com/sequoiapick/sequoiapick/internal/peer"
 	"github.com/sequoiapick/sequoiapick/internal/peer/peerpb"
-	"github.com/sequoiapick/sequoiapick/internal/router"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
 	"github.com/sequoiapick/sequoiapick/pkg/target"
 )
 
 // send makes one attempt, directly or through the guardian, and records its intent.
-func (s *stageRun) send(ctx context.Context, candidate router.Candidate, attempt link.Attempt, sink func([]byte) error) (link.Result, error) {
+func (s *stageRun) send(ctx context.Context, p place, attempt link.Attempt, sink func([]byte) error) (link.Result, error) {
 	intent, err := s.job.Sends.Intend(s.stage.Idempotent)
 	if err != nil {
+		if d, ok := p.reservation.(fleet.Direct); ok {
+			s.runner.Fleet.Release(p.candidate.Target.Name, d.Cold)
+		}
 		return link.Result{}, err
 	}
-	result, err := s.runner.dispatch(ctx, candidate, attempt, s.stage.Idempotent, sink)
+	result, err := s.runner.dispatch(ctx, p, attempt, s.stage.Idempotent, sink)
+	s.runner.serve(s.stage.Kind)
 	if link.NotSent(err) {
 		intent.Withdraw()
 	}
 	return result, err
 }
 
-func (r *Runner) dispatch(ctx context.Context, candidate router.Candidate, attempt link.Attempt, idempotent bool, sink func([]byte) error) (link.Result, error) {
-	contract := candidate.Target
-	reservation := r.Fleet.Reserve(contract, candidate.Local, r.World.View(contract.DataCentre))
-	switch d := reservation.(type) {
+func (r *Runner) dispatch(ctx context.Context, p place, attempt link.Attempt, idempotent bool, sink func([]byte) error) (link.Result, error) {
+	contract := p.candidate.Target
+	switch d := p.reservation.(type) {
 	case fleet.Direct:
 		return r.direct(ctx, contract, attempt, idempotent, d.Cold, sink)
 	case fleet.Forward:
 		return r.forward(ctx, contract, d.Guardian, attempt, idempotent, sink)
-	case fleet.Refused:
-		return link.Result{}, refused(d.Reason)
 	default:
-		return link.Result{}, refused("unknown reservation")
+		return link.Result{}, refused("no place is reserved")
 	}
 }
 
--- a/internal/run/stage.go
+++ b/internal/run/stage.go
@@ -10,7 +10,6 @@
 	"github.com/sequoiapick/sequoiapick/internal/history"
 	"github.com/sequoiapick/sequoiapick/internal/link"
 	"github.com/sequoiapick/sequoiapick/internal/request"
-	"github.com/sequoiapick/sequoiapick/internal/router"
 	"github.com/sequoiapick/sequoiapick/pkg/pipeline"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
 	"github.com/sequoiapick/sequoiapick/pkg/target"
@@ -23,15 +22,17 @@
 type stageRun struct {
 	runner *Runner
 	job    Job
-	stage  pipeline.Stage
-	share  time.Duration
-	input  []byte
-	sink   func([]byte) error
-	tried  map[string]bool
-	cost   request.StageCost
-	sent   int
-	number int
-	held   bool
+	// pipeline and index say which stages remain.
+	pipeline pipeline.Pipeline
+	index    int
+	stage    pipeline.Stage
+	input    []byte
+	sink     func([]byte) error
+	tried    map[string]bool
+	cost     request.StageCost
+	sent     int
+	number   int
+	held     bool
 	// streamed says that the caller has some of the answer, so that no other attempt
 	// may go on from there.
 	streamed atomic.Bool
@@ -42,14 +43,11 @@
 		if ctx.Err() != nil {
 			return nil, ended(ctx)
 		}
-		candidate, err := s.choose(ctx)
-		if err != nil {
-			return nil, err
+		place := s.obtain(ctx)
+		if place.err != nil {
+			return nil, place.err
 		}
-		if candidate == nil {
-			continue
-		}
-		output, err := s.race(ctx, *candidate)
+		output, err := s.race(ctx, place)
 		if err == nil {
 			return output, nil
 		}
@@ -67,39 +65,6 @@
 	return problem.New(problem.Cancelled, "the caller gave up")
 }
 
-// choose asks the router; nil says that the wait is over and the choice is to be made again.
-func (s *stageRun) choose(ctx context.Context) (*router.Candidate, error) {
-	r := s.runner
-	changed := r.Fleet.Changed()
-	candidates := r.Fleet.Candidates(s.job.Document, s.stage.Kind, r.World.Out)
-	for i := range candidates {
-		candidates[i].Tried = s.tried[candidates[i].Target.Name]
-	}
-	decision := router.Choose(router.Question{
-		Policy:     r.Policy,
-		Candidates: candidates,
-		Share:      s.share,
-		Turn:       r.Fleet.Turn(),
-	})
-	switch d := decision.(type) {
-	case router.Send:
-		s.note(event.StageRouted, "Send", d.Candidate.Target.Name, d.Reason, names(candidates))
-		return &d.Candidate, nil
-	case router.Wait:
-		if !s.held {
-			s.note(event.StageHeld, "Hold", "", d.Reason, names(candidates))
-		}
-		s.held = true
-		s.wait(ctx, changed, d.For)
-		return nil, nil
-	case router.Refuse:
-		s.note(event.StageRefused, "Refuse", "", d.Reason, names(candidates))
-		return nil, problem.New(d.Kind, "stage %q: %s", s.stage.Name, d.Reason)
-	default:
-		return nil, problem.New(problem.Internal, "unknown routing decision %T", decision)
-	}
-}
-
 func (s *stageRun) note(e event.Event, action, targetName, reason string, candidates []string) {
 	s.runner.Log.Emit(e, "Request", s.job.Request.ID, "Stage", s.stage.Name, "Candidates", candidates, "Choice", targetName, "Reason", reason)
 	s.runner.History.Add(s.job.Request.ID, history.Decision{
@@ -112,12 +77,12 @@
 	})
 }
 
-func (s *stageRun) wait(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
-	timer := s.runner.Clock.NewTimer(limit)
+// pause waits before the next try.
+func (s *stageRun) pause(ctx context.Context) {
+	timer := s.runner.Clock.NewTimer(retryPause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-changed:
 	case <-timer.Chan():
 	}
 }
@@ -125,7 +90,7 @@
 // classify returns the error that ends the stage, or nil if it is to be tried again.
 func (s *stageRun) classify(ctx context.Context, err error) error {
 	if link.NotSent(err) {
-		s.wait(ctx, nil, retryPause)
+		s.pause(ctx)
 		return nil
 	}
 	if !s.stage.Idempotent {
@@ -141,7 +106,7 @@
 		return problem.New(problem.TargetFailed, "stage %q broke off after its answer had begun: %s", s.stage.Name, problem.Detail(err))
 	}
 	if link.GuardianLost(err) {
-		s.wait(ctx, nil, retryPause)
+		s.pause(ctx)
 		return nil
 	}
 	s.sent++
