feat(policy): give up stages that can't end in time on the fastest target

Cause: beyond saturation, stages were started with too little time left and failed late, using places that others could have used.

Change: a waiting stage is given up when the time left is shorter than the fastest usable target typically takes, with the stages behind it.

Tried and reverted: to refuse a share of new requests, the cheapest first, whenever arrivals exceed departures for a second and the queue takes more than 0.4 of the longest deadline to empty. A regulator would have to count what it refused.

--- a/internal/run/schedule.go
+++ b/internal/run/schedule.go
@@ -144,7 +144,7 @@
 		candidates[i].Tried = s.tried[candidates[i].Target.Name]
 	}
 	question := router.Question{Policy: r.Policy, Candidates: candidates, Share: s.share(), Turn: r.Fleet.Turn()}
-	if r.Policy == router.Price && s.hopeless() {
+	if r.Policy == router.Price && s.hopeless(candidates) {
 		s.note(event.StageRefused, "Refuse", "", "the time left is shorter than the stage typically takes", names(candidates))
 		return place{err: problem.New(problem.Infeasible, "stage %q: the time left is too short", s.stage.Name)}, true
 	}
@@ -171,10 +171,26 @@
 }
 
 // hopeless reports whether the stages that remain can't be expected to end in time, even
-// if they started now and went well.
-func (s *stageRun) hopeless() bool {
-	best, ok := s.remaining(hopefulQuantile)
-	return ok && s.runner.Clock.Now().Add(best).After(s.job.Request.Deadline)
+// if this one started now on the fastest target.
+func (s *stageRun) hopeless(candidates []router.Candidate) bool {
+	fastest := time.Duration(0)
+	for _, c := range candidates {
+		if c.Leaving || c.Out || c.Typical == 0 {
+			continue
+		}
+		if fastest == 0 || c.Typical < fastest {
+			fastest = c.Typical
+		}
+	}
+	if fastest == 0 {
+		return false
+	}
+	later := time.Duration(0)
+	for _, stage := range s.pipeline.Stages[s.index+1:] {
+		typical, _ := s.runner.Fleet.Quantile(stage.Kind, medianQuantile)
+		later += typical
+	}
+	return s.runner.Clock.Now().Add(fastest + later).After(s.job.Request.Deadline)
 }
 
 // startBy is the latest time at which the stage can start and still end in time.
@@ -214,7 +230,6 @@
 
 // The quantiles of stage durations that decisions are based on.
 const (
-	shareQuantile   = 0.9
-	medianQuantile  = 0.5
-	hopefulQuantile = 0.1
+	shareQuantile  = 0.9
+	medianQuantile = 0.5
 )
