feat(policy): let price decide among urgent stages while many are given up

Change: while more than 10% of a kind's stages are given up (counted over 0.5 s), the dearest of those that must start within 1 s go first; every fifth turn goes by time alone, so that the cheap tiers aren't starved.

--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -22,6 +22,8 @@
 type Waiter struct {
 	// StartBy is the latest time at which the stage can start and still end in time.
 	StartBy time.Time
+	// PriceMicros decides among urgent waiters when not all can be served.
+	PriceMicros int64
 	// Owner is what the user of the queue needs to go on with the stage.
 	Owner any
 }
@@ -55,6 +57,17 @@
 	return append([]*Waiter(nil), q.waiters[:min(n, len(q.waiters))]...)
 }
 
+// Dearest returns up to n waiters, those that must start before the time by price, and
+// then the others.
+func (q *Queue) Dearest(n int, before time.Time) []*Waiter {
+	urgent := q.First(q.Ahead(before))
+	sort.SliceStable(urgent, func(i, j int) bool { return urgent[i].PriceMicros > urgent[j].PriceMicros })
+	if len(urgent) >= n {
+		return urgent[:n]
+	}
+	return append(urgent, q.First(n)[len(urgent):]...)
+}
+
 // Ahead returns the number of waiters that must start before the time.
 func (q *Queue) Ahead(startBy time.Time) int {
 	return sort.Search(len(q.waiters), func(i int) bool { return q.waiters[i].StartBy.After(startBy) })
--- a/internal/run/schedule.go
+++ b/internal/run/schedule.go
@@ -21,6 +21,34 @@
 type Schedule struct {
 	mu    sync.Mutex
 	kinds map[string]*queue.Queue
+	// tallies say how many stages of a kind are given up.
+	tallies map[string]*tally
+	turn    int
+}
+
+// tally counts the stages that were given a place and those that were given up.
+type tally struct {
+	since       time.Time
+	served      int
+	missed      int
+	missedShare float64
+}
+
+func (t *tally) count(now time.Time, missed bool) {
+	t.turn(now)
+	if missed {
+		t.missed++
+		return
+	}
+	t.served++
+}
+
+func (t *tally) turn(now time.Time) {
+	if now.Sub(t.since) < tallyWindow {
+		return
+	}
+	t.missedShare = float64(t.missed) / float64(max(t.served+t.missed, 1))
+	t.since, t.served, t.missed = now, 0, 0
 }
 
 // place is a place at a target that is reserved for a stage.
@@ -39,11 +67,13 @@
 func (s *Schedule) queue(kind string) *queue.Queue {
 	if s.kinds == nil {
 		s.kinds = map[string]*queue.Queue{}
+		s.tallies = map[string]*tally{}
 	}
 	q := s.kinds[kind]
 	if q == nil {
 		q = &queue.Queue{}
 		s.kinds[kind] = q
+		s.tallies[kind] = &tally{}
 	}
 	return q
 }
@@ -59,7 +89,7 @@
 func (s *stageRun) obtain(ctx context.Context) place {
 	r := s.runner
 	w := &waiting{stage: s, given: make(chan place, 1)}
-	entry := &queue.Waiter{StartBy: s.startBy(), Owner: w}
+	entry := &queue.Waiter{StartBy: s.startBy(), PriceMicros: s.price(), Owner: w}
 	r.Schedule.mu.Lock()
 	r.Schedule.queue(s.stage.Kind).Push(entry)
 	r.Schedule.mu.Unlock()
@@ -98,16 +128,43 @@
 	r.Schedule.mu.Lock()
 	defer r.Schedule.mu.Unlock()
 	q := r.Schedule.queue(kind)
-	for _, entry := range q.First(serveAtOnce) {
+	for _, entry := range r.order(kind, q) {
 		w := entry.Owner.(*waiting)
 		p, done := w.stage.decide()
 		if done {
 			q.Remove(entry)
+			r.Schedule.tallies[kind].count(r.Clock.Now(), problem.Of(p.err) == problem.Infeasible)
 			w.given <- p
 		}
 	}
 }
 
+// order returns the waiters to serve next. While many stages are given up for lack of
+// time, the dearest of the urgent ones go first, but for every fairTurn-th time.
+func (r *Runner) order(kind string, q *queue.Queue) []*queue.Waiter {
+	now := r.Clock.Now()
+	r.Schedule.turn++
+	t := r.Schedule.tallies[kind]
+	t.turn(now)
+	overloaded := t.missedShare > overloadShare && r.Policy == router.Price
+	if !overloaded || r.Schedule.turn%fairTurn == 0 {
+		return q.First(serveAtOnce)
+	}
+	return q.Dearest(serveAtOnce, now.Add(urgentWithin))
+}
+
+const (
+	// overloadShare is the share of stages given up above which price decides.
+	overloadShare = 0.1
+	// tallyWindow is the time over which the share is counted.
+	tallyWindow = 500 * time.Millisecond
+	// urgentWithin is the time within which urgent stages must start.
+	urgentWithin = time.Second
+	// fairTurn is the number of turns of which one goes by time alone, so that the cheap
+	// tiers aren't starved.
+	fairTurn = 5
+)
+
 // serveIfFirst serves the queue if the waiter is at its front, so that of all that wait
 // only one looks again from time to time.
 func (r *Runner) serveIfFirst(kind string, entry *queue.Waiter) {
@@ -202,6 +259,10 @@
 	return s.job.Request.Deadline.Add(-typical)
 }
 
+func (s *stageRun) price() int64 {
+	return s.job.Document.Tiers[s.job.Request.Tier].PriceMicros
+}
+
 // remaining returns a quantile of the durations of this stage and those behind it, and
 // whether all are known.
 func (s *stageRun) remaining(q float64) (time.Duration, bool) {
