--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -42,8 +42,9 @@
 const (
 	// SnapshotEvery is the number of versions between snapshots.
 	SnapshotEvery = 64
-	// KeptChanges is the number of changes kept for other daemons and in the table.
-	KeptChanges = 2 * SnapshotEvery
+	// KeptChanges is the number of changes kept for other daemons; one that is further
+	// behind gets a snapshot.
+	KeptChanges = 32 * SnapshotEvery
 	// maxOrders bounds the orders read in one scan.
 	maxOrders = 1000
 	// submitTries bounds the tries of a change that names no expected version.
@@ -353,7 +354,8 @@
 	return tx, nil
 }
 
-// obsolete deletes the rows of changes that are older than the previous snapshot.
+// obsolete deletes the rows that the previous snapshot has replaced; those before them
+// were deleted with that snapshot.
 func (r *Registry) obsolete(version uint64) []platform.Write {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -362,6 +364,9 @@
 		if c.Version+SnapshotEvery > version {
 			break
 		}
+		if c.Version+2*SnapshotEvery <= version {
+			continue
+		}
 		writes = append(writes,
 			platform.Write{Key: changeKey(c.Version), Delete: true},
 			platform.Write{Key: changeIDPrefix + c.ID, Delete: true})
