--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -120,6 +120,7 @@
 	journal     Journal
 	fencing     uint64
 	lastAttempt string
+	lastInput   string
 	conns       map[net.Conn]bool
 }
 
@@ -232,7 +233,7 @@
 	s.mu.Lock()
 	s.arrive(c, attempt)
 	incarnation := s.incarnation
-	answer := s.spoil(attempt)
+	answer := s.spoil(attempt, input)
 	report, _ := json.Marshal(s.report())
 	s.mu.Unlock()
 	c.Response.Header.Set(link.ReportHeader, string(report))
@@ -243,7 +244,7 @@
 	conn := c.Conn()
 	c.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer s.leave(incarnation)
-		s.write(conn, w, answer, stage, input)
+		s.write(conn, w, answer, stage)
 	})
 }
 
@@ -284,13 +285,14 @@
 // spoiled is an answer with what is wrong with it.
 type spoiled struct {
 	attempt  string
+	input    string
 	cutShort bool
 	twice    bool
 	silent   bool
 }
 
-func (s *Server) spoil(attempt string) spoiled {
-	answer := spoiled{attempt: attempt}
+func (s *Server) spoil(attempt, input string) spoiled {
+	answer := spoiled{attempt: attempt, input: input}
 	switch {
 	case s.fault.CutShort > 0:
 		s.fault.CutShort--
@@ -303,16 +305,16 @@
 		answer.silent = true
 	case s.fault.Crossed > 0 && s.lastAttempt != "":
 		s.fault.Crossed--
-		answer.attempt = s.lastAttempt
+		answer.attempt, answer.input = s.lastAttempt, s.lastInput
 	}
-	s.lastAttempt = attempt
+	s.lastAttempt, s.lastInput = attempt, input
 	if s.Profile.HidesAttempt {
 		answer.attempt = ""
 	}
 	return answer
 }
 
-func (s *Server) write(conn net.Conn, w *bufio.Writer, answer spoiled, stage, input string) {
+func (s *Server) write(conn net.Conn, w *bufio.Writer, answer spoiled, stage string) {
 	if answer.silent {
 		time.Sleep(time.Minute)
 	}
@@ -322,7 +324,7 @@
 	for i := range tokens {
 		text := fmt.Sprintf("%s%d ", stage, i)
 		if i == 0 {
-			text = "[" + digest(input) + "] " + text
+			text = "[" + digest(answer.input) + "] " + text
 		}
 		if writer.Text([]byte(text)) != nil || w.Flush() != nil {
 			return
