test(guardian): check the gate against generated membership changes

Daemons adopt epochs, hear of each other late, restart, join, are swept and leave in any order; the requests at the target never exceed the cold limit.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 .PHONY: test prove measure lint format
 test:
 	go test -count=1 -timeout 30m $$(go list ./... | grep -v /test$$)
+	go test -count=1 ./internal/guardian -rapid.checks=50000
 	go test -count=1 -timeout 60m ./test -ginkgo.label-filter='!measure && !policy' -ginkgo.skip='$(SKIP)'
 
 prove:
--- /dev/null
+++ b/internal/guardian/guardian_test.go
@@ -0,0 +1,164 @@
+package guardian_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sequoiapick/sequoiapick/internal/guardian"
+	"github.com/sequoiapick/sequoiapick/internal/membership"
+	"github.com/sequoiapick/sequoiapick/pkg/target"
+)
+
+var contract = target.Target{Name: "llm-1", ColdLimit: 2, MaxRun: 10 * time.Second}
+
+// daemon is one member as the model sees it.
+type daemon struct {
+	member membership.Member
+	gate   guardian.Gate
+	runs   int
+}
+
+// model is a data centre whose daemons join, leave, crash and hear of each other late.
+type model struct {
+	now     time.Time
+	view    membership.View
+	daemons []*daemon
+	// orphans are the times at which requests of crashed daemons end at the target.
+	orphans []time.Time
+	started int
+}
+
+func (m *model) start(host string) {
+	m.started++
+	d := &daemon{member: membership.Member{Host: host, Incarnation: fmt.Sprint(host, "-", m.started), Listed: true}}
+	m.daemons = append(m.daemons, d)
+	m.view, _ = m.view.Join(d.member)
+}
+
+func (m *model) crash(d *daemon) {
+	for range d.runs {
+		m.orphans = append(m.orphans, m.now.Add(contract.MaxRun))
+	}
+	m.drop(d)
+}
+
+func (m *model) drop(gone *daemon) {
+	for i, d := range m.daemons {
+		if d == gone {
+			m.daemons = append(m.daemons[:i], m.daemons[i+1:]...)
+			return
+		}
+	}
+}
+
+// running is what the target has at once.
+func (m *model) running() int {
+	n := 0
+	for _, d := range m.daemons {
+		n += d.runs
+	}
+	for _, end := range m.orphans {
+		if m.now.Before(end) {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) step(t *rapid.T) {
+	d := m.daemons[rapid.IntRange(0, len(m.daemons)-1).Draw(t, "daemon")]
+	switch rapid.SampledFrom([]string{"adopt", "adopt", "tell", "tell", "tell", "acquire", "acquire", "release", "restart", "join", "sweep", "leave", "wait"}).Draw(t, "step") {
+	case "adopt":
+		d.gate.Adopt(m.now, d.member.Incarnation, m.view)
+	case "tell":
+		other := m.daemons[rapid.IntRange(0, len(m.daemons)-1).Draw(t, "other")]
+		other.gate.PeerAdopted(d.member.Incarnation, d.gate.View().Epoch, d.gate.Busy())
+	case "acquire":
+		if _, ok := d.gate.Acquire(m.now, contract).(guardian.Granted); ok {
+			d.runs++
+		}
+	case "release":
+		if d.runs > 0 {
+			d.runs--
+			d.gate.Release(contract.Name)
+		}
+	case "restart":
+		m.crash(d)
+		m.start(d.member.Host)
+	case "join":
+		if len(m.daemons) < 5 {
+			m.start(fmt.Sprint("host-", m.started))
+		}
+	case "sweep":
+		m.sweep(d)
+	case "leave":
+		m.leave(d)
+	case "wait":
+		m.now = m.now.Add(time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds")) * time.Second)
+	}
+}
+
+// sweep crashes a daemon for good and removes its host.
+func (m *model) sweep(d *daemon) {
+	if len(m.daemons) == 1 {
+		return
+	}
+	m.crash(d)
+	listed := map[string]bool{}
+	for _, other := range m.daemons {
+		listed[other.member.Host] = true
+	}
+	m.view, _ = m.view.Sweep(listed)
+}
+
+// leave is a planned stop: the daemon releases itself once nothing is in flight.
+func (m *model) leave(d *daemon) {
+	if len(m.daemons) == 1 || d.runs > 0 {
+		return
+	}
+	m.view, _ = m.view.Release(d.member.Incarnation, "")
+	m.drop(d)
+}
+
+func TestColdLimitHoldsThroughEveryMembershipChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{now: time.Unix(1000, 0), view: membership.View{DataCentre: "ga-a"}}
+		m.start("host-a")
+		m.start("host-b")
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			m.step(t)
+			if n := m.running(); n > contract.ColdLimit {
+				t.Fatalf("%d requests at once, the cold limit is %d", n, contract.ColdLimit)
+			}
+		}
+	})
+}
+
+func TestGuardianBecomesActiveOnceAllHaveAdopted(t *testing.T) {
+	m := &model{now: time.Unix(1000, 0), view: membership.View{DataCentre: "ga-a"}}
+	m.start("host-a")
+	m.start("host-b")
+	for _, d := range m.daemons {
+		d.gate.Adopt(m.now, d.member.Incarnation, m.view)
+	}
+	owner, other := m.daemons[0], m.daemons[1]
+	if g, _ := m.view.Guardian(contract.Name); g.Incarnation != owner.member.Incarnation {
+		owner, other = other, owner
+	}
+	if _, ok := other.gate.Acquire(m.now, contract).(guardian.Elsewhere); !ok {
+		t.Error("a daemon that doesn't guard the target may send")
+	}
+	if _, ok := owner.gate.Acquire(m.now, contract).(guardian.Pending); !ok {
+		t.Error("the guardian is active before the other has adopted the epoch")
+	}
+	owner.gate.PeerAdopted(other.member.Incarnation, m.view.Epoch, map[string]int{contract.Name: 1})
+	if _, ok := owner.gate.Acquire(m.now, contract).(guardian.Granted); !ok {
+		t.Error("the guardian isn't active although all have adopted the epoch")
+	}
+	if _, ok := owner.gate.Acquire(m.now, contract).(guardian.Full); !ok {
+		t.Error("what the other has in flight doesn't count")
+	}
+}
