--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,41 @@
+package queue_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/queue"
+)
+
+func TestOrderOfWaiters(t *testing.T) {
+	start := time.Unix(1000, 0)
+	waiter := func(seconds int, price int64) *queue.Waiter {
+		return &queue.Waiter{StartBy: start.Add(time.Duration(seconds) * time.Second), PriceMicros: price}
+	}
+	late, soon, dear, cheap := waiter(9, 1000), waiter(2, 100), waiter(3, 900), waiter(1, 50)
+	var q queue.Queue
+	for _, w := range []*queue.Waiter{late, soon, dear, cheap} {
+		q.Push(w)
+	}
+	expect(t, q.First(4), cheap, soon, dear, late)
+	expect(t, q.Dearest(4, start.Add(5*time.Second)), dear, soon, cheap, late)
+	expect(t, q.Dearest(1, start.Add(5*time.Second)), dear)
+	if q.Ahead(start.Add(2*time.Second)) != 2 {
+		t.Errorf("got %d ahead, want 2", q.Ahead(start.Add(2*time.Second)))
+	}
+	if !q.Remove(soon) || q.Remove(soon) || q.Len() != 3 {
+		t.Error("a waiter isn't removed exactly once")
+	}
+}
+
+func expect(t *testing.T, got []*queue.Waiter, want ...*queue.Waiter) {
+	t.Helper()
+	if len(got) != len(want) {
+		t.Fatalf("got %d waiters, want %d", len(got), len(want))
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("place %d: got %v, want %v", i, got[i], want[i])
+		}
+	}
+}
