fix(draft): tie a key to one request, synchronous or asynchronous

A key used once with Async and once without would have run its non-idempotent stage twice, since drafts and claims used different rows. Also: a planned stop waited for forwarded work before it had left the membership, so what arrived between could be cut off; and callers' kept connections were closed at shutdown without a warning.

Change: accepting a keyed draft inserts the key's row in the same transaction; a stop waits again after it has left; a daemon that isn't ready asks callers to close their connections.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -126,6 +126,9 @@
 
 func (f *Front) handle(c *fasthttp.RequestCtx) {
 	path := string(c.Path())
+	if !f.Service.Ready() {
+		c.SetConnectionClose() // so that no request is on its way when the listener closes
+	}
 	switch {
 	case path == "/healthz":
 		c.SetBodyString("ok")
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -60,6 +60,18 @@
 	Fingerprint uint64
 	// Outcome is set once the run has ended.
 	Outcome *idempotency.Outcome
+	// Draft is the ID of the asynchronous request that the key was used for.
+	Draft string `json:",omitempty"`
+}
+
+// ForDraft returns what a transaction needs in order to use the key for an asynchronous
+// request, which no synchronous one can then use.
+func ForDraft(id idempotency.ID, draft string, fingerprint uint64) (platform.Condition, platform.Write, error) {
+	value, err := json.Marshal(row{Draft: draft, Fingerprint: fingerprint})
+	if err != nil {
+		return platform.Condition{}, platform.Write{}, problem.New(problem.Internal, "encode key: %v", err)
+	}
+	return platform.Condition{Key: key(id)}, platform.Write{Key: key(id), Value: value}, nil
 }
 
 // Keeper is safe for concurrent use.
@@ -223,6 +235,9 @@
 
 // elsewhere answers a request whose key another incarnation owns.
 func (k *Keeper) elsewhere(ctx context.Context, s Submission, found row) idempotency.Outcome {
+	if found.Draft != "" {
+		return failure(problem.KeyReused, "the key was used for the asynchronous request "+found.Draft)
+	}
 	if found.Fingerprint != s.Fingerprint {
 		return failure(problem.KeyReused, "the key was used for another request")
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,7 +74,7 @@
 	ready    atomic.Bool
 	stopping atomic.Bool
 	inFlight atomic.Int64
-	work     sync.WaitGroup
+	work     work
 	tasks    tasks
 }
 
--- a/internal/daemon/drafts.go
+++ b/internal/daemon/drafts.go
@@ -8,10 +8,12 @@
 	"github.com/google/uuid"
 
 	"github.com/sequoiapick/sequoiapick/internal/caller"
+	"github.com/sequoiapick/sequoiapick/internal/claim"
 	"github.com/sequoiapick/sequoiapick/internal/draft"
 	"github.com/sequoiapick/sequoiapick/internal/event"
 	"github.com/sequoiapick/sequoiapick/internal/idempotency"
 	"github.com/sequoiapick/sequoiapick/internal/peer/peerpb"
+	"github.com/sequoiapick/sequoiapick/internal/platform"
 	"github.com/sequoiapick/sequoiapick/internal/request"
 	"github.com/sequoiapick/sequoiapick/internal/run"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
@@ -71,7 +73,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptLimit)
 	defer cancel()
-	accepted, err := d.drafts.Accept(ctx, record, []byte(call.Body.Input))
+	with, err := withKey(call, record)
+	if err != nil {
+		return "", err
+	}
+	accepted, err := d.drafts.Accept(ctx, record, []byte(call.Body.Input), with)
 	if problem.Of(err) == problem.Conflict && accepted.Fingerprint == record.Fingerprint && accepted.Account == record.Account {
 		return record.ID, nil
 	}
@@ -82,10 +88,22 @@
 		return record.ID, err
 	}
 	d.log.Emit(event.DraftAccepted, "Request", record.ID, "Account", record.Account, "Deadline", record.Deadline)
-	d.work.Go(func() { d.runDraft(accepted, []byte(call.Body.Input)) })
+	d.work.start(func() { d.runDraft(accepted, []byte(call.Body.Input)) })
 	return record.ID, nil
 }
 
+// withKey ties the draft to its caller's key, so that no other request can use it.
+func withKey(call caller.Run, record draft.Record) (platform.Transaction, error) {
+	if call.Key == "" {
+		return platform.Transaction{}, nil
+	}
+	if _, ticket := idempotency.TicketOwner(call.Key); ticket {
+		return platform.Transaction{}, problem.New(problem.Invalid, "a ticket can't be used for an asynchronous request")
+	}
+	condition, write, err := claim.ForDraft(idempotency.ID{Account: record.Account, Key: call.Key}, record.ID, record.Fingerprint)
+	return platform.Transaction{Conditions: []platform.Condition{condition}, Writes: []platform.Write{write}}, err
+}
+
 // draftID returns the ID of a draft; the same key of an account always gives the same.
 func draftID(call caller.Run) string {
 	if call.Key == "" {
@@ -216,5 +234,5 @@
 		return
 	}
 	d.log.Emit(event.DraftTakenOver, "Request", record.ID, "Former", former, "Takeovers", taken.Takeovers)
-	d.work.Go(func() { d.runDraft(taken, input) })
+	d.work.start(func() { d.runDraft(taken, input) })
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -99,8 +99,8 @@
 
 // handleAttempt sends an attempt to a cold target as its guardian.
 func (d *Daemon) handleAttempt(ctx context.Context, a *peerpb.Attempt, send func(*peerpb.Reply) error) {
-	d.work.Add(1)
-	defer d.work.Done()
+	d.work.add()
+	defer d.work.done()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(a.BudgetMillis)*time.Millisecond)
 	defer cancel()
 	end := &peerpb.AttemptEnd{}
@@ -133,8 +133,8 @@
 
 // handleSubmission runs or answers a keyed request whose key this daemon owns.
 func (d *Daemon) handleSubmission(ctx context.Context, s *peerpb.Submission) *peerpb.Reply {
-	d.work.Add(1)
-	defer d.work.Done()
+	d.work.add()
+	defer d.work.done()
 	outcome := d.resume(ctx, s)
 	return &peerpb.Reply{Kind: &peerpb.Reply_Answer{Answer: &peerpb.Answer{
 		Failure: string(outcome.Failure),
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -61,8 +61,8 @@
 
 // Run implements caller.Service.
 func (d *Daemon) Run(ctx context.Context, call caller.Run, sink func([]byte) error) ([]byte, *caller.Failure) {
-	d.work.Add(1)
-	defer d.work.Done()
+	d.work.add()
+	defer d.work.done()
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
 	started := d.Clock.Now()
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -52,6 +52,7 @@
 		{"finish requests", finishRequests},
 		{"hand over keys", handOverKeys},
 		{"release targets", releaseTargets},
+		{"finish forwarded", finishForwarded},
 		{"stop tasks", stopTasks},
 	}
 }
@@ -196,16 +197,15 @@
 	if err := d.tasks.stop("drafts"); err != nil {
 		return err
 	}
-	finished := make(chan struct{})
-	go func() {
-		d.work.Wait()
-		d.claims.Close()
-		close(finished)
-	}()
-	select {
-	case <-finished:
-	case <-d.Clock.After(d.Settings.Timing.DrainLimit):
-	}
+	d.work.wait(d.Clock, d.Settings.Timing.DrainLimit)
+	d.claims.Close()
+	return nil
+}
+
+// finishForwarded waits for what other daemons have sent here before they learnt that
+// this one has left.
+func finishForwarded(d *Daemon, _ context.Context) error {
+	d.work.wait(d.Clock, d.Settings.Timing.DrainLimit)
 	return nil
 }
 
--- a/internal/daemon/task.go
+++ b/internal/daemon/task.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/sequoiapick/sequoiapick/internal/event"
 )
 
@@ -51,6 +54,34 @@
 	return failure
 }
 
+// work counts what a planned stop waits for; the zero value works. Unlike a WaitGroup
+// it may be added to while it is waited for.
+type work struct {
+	count atomic.Int64
+}
+
+func (w *work) add()  { w.count.Add(1) }
+func (w *work) done() { w.count.Add(-1) }
+
+// start runs the function and counts it until it returns.
+func (w *work) start(run func()) {
+	w.add()
+	go func() {
+		defer w.done()
+		run()
+	}()
+}
+
+// wait returns when nothing is counted, or after the limit.
+func (w *work) wait(clock clockwork.Clock, limit time.Duration) {
+	end := clock.Now().Add(limit)
+	for w.count.Load() > 0 && clock.Now().Before(end) {
+		clock.Sleep(workPause)
+	}
+}
+
+const workPause = 20 * time.Millisecond
+
 // every calls the function at once and then at each interval, until the context ends.
 func (d *Daemon) every(interval time.Duration, name string, call func(context.Context) error) func(context.Context) error {
 	return func(ctx context.Context) error {
--- a/internal/daemon/world.go
+++ b/internal/daemon/world.go
@@ -199,7 +199,7 @@
 
 // background runs a short call that a planned stop waits for.
 func (d *Daemon) background(call func(ctx context.Context)) {
-	d.work.Go(func() {
+	d.work.start(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), backgroundLimit)
 		defer cancel()
 		call(ctx)
--- a/internal/draft/draft.go
+++ b/internal/draft/draft.go
@@ -68,9 +68,10 @@
 	DataCentre  string
 }
 
-// Accept makes a draft durable. A draft with the same ID that was accepted before is
-// returned as it is, with kind Conflict.
-func (s *Store) Accept(ctx context.Context, r Record, input []byte) (Record, error) {
+// Accept makes a draft durable, together with the other conditions and writes. A draft
+// with the same ID that was accepted before is returned as it is, with kind Conflict;
+// a conflict without a draft means that one of the other conditions didn't hold.
+func (s *Store) Accept(ctx context.Context, r Record, input []byte, with platform.Transaction) (Record, error) {
 	r.Owner = s.Incarnation
 	r.OwnerDataCentre = s.DataCentre
 	if err := s.Objects.PutObject(ctx, objectPrefix+r.ID+"/input", input); err != nil {
@@ -81,8 +82,8 @@
 		return r, err
 	}
 	revision, err := s.Table.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Key: openPrefix + r.ID}, {Key: donePrefix + r.ID}},
-		Writes:     []platform.Write{{Key: openPrefix + r.ID, Value: value}},
+		Conditions: append(with.Conditions, platform.Condition{Key: openPrefix + r.ID}, platform.Condition{Key: donePrefix + r.ID}),
+		Writes:     append(with.Writes, platform.Write{Key: openPrefix + r.ID, Value: value}),
 	})
 	r.revision = revision
 	if err == nil {
@@ -90,6 +91,8 @@
 	}
 	known, _, found, readErr := s.Read(ctx, r.ID)
 	switch {
+	case readErr == nil && !found && problem.Of(err) == problem.Conflict:
+		return Record{}, err
 	case readErr != nil || !found:
 		return r, problem.New(problem.Unavailable, "whether the draft was accepted is unknown: %v", err)
 	case known.Owner == r.Owner && known.Accepted.Equal(r.Accepted):
--- a/test/keys_test.go
+++ b/test/keys_test.go
@@ -221,4 +221,27 @@
 			Expect(n).To(Equal(1), key)
 		}
 	})
+
+	It("runs a key once whether it is used for a synchronous or an asynchronous request", func() {
+		c := newCluster(2, centres[:1])
+		c.awaitVersion(c.apply(c.daemons[0], users(smallFleet(c, centres[:1])...)))
+		input := "key both"
+		draft := c.run(c.daemons[0], "restock", "both", caller.RunBody{Tier: "later", Input: input, Async: true})
+		Expect(draft.Status).To(Equal(202), string(draft.Raw))
+		again := c.run(c.daemons[1], "restock", "both", caller.RunBody{Tier: "later", Input: input, Async: true})
+		Expect(again.RequestID).To(Equal(draft.RequestID))
+		Eventually(func() string {
+			_, body := c.get(c.daemons[1], "front-desk", "/v1/requests/"+draft.RequestID)
+			return body
+		}, 10*time.Second).Should(ContainSubstring(`"State":"Answered"`))
+		sync := c.run(c.daemons[1], "restock", "both", caller.RunBody{Tier: "later", Input: input})
+		Expect(string(sync.Failure.Kind)).To(Equal("KeyReused"))
+		Expect(sync.Failure.NotRun.Proven()).To(BeFalse())
+
+		first := c.run(c.daemons[0], "restock", "first", caller.RunBody{Tier: "later", Input: "key first"})
+		Expect(first.Status).To(Equal(200), string(first.Raw))
+		then := c.run(c.daemons[1], "restock", "first", caller.RunBody{Tier: "later", Input: "key first", Async: true})
+		Expect(string(then.Failure.Kind)).To(Equal("KeyReused"))
+		Expect(executions(c)).To(Equal(map[string]int{"both": 1, "first": 1}))
+	})
 })
