feat(run): try a silent connection's target again over a new connection

Cause: an idempotent attempt on a connection that has gone silent waited for the target's longest run when no other warm target was there to hedge to.

Change: when the hedge is due, nothing has arrived and there is no other warm target, the idle connections to the target are retired and the second attempt goes to it over a new one, within the same budget.

--- a/internal/run/race.go
+++ b/internal/run/race.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/event"
@@ -28,6 +29,8 @@
 	result link.Result
 	err    error
 	cancel context.CancelFunc
+	// begun says that some of the answer has arrived, so the connection isn't silent.
+	begun atomic.Bool
 }
 
 // race is one attempt and, if that is slow, a second one on another target. The first
@@ -62,7 +65,7 @@
 			}
 			failure = worse(failure, e.err)
 		case <-timer.fired():
-			if second := s.hedge(ctx, rc, p.candidate); second != nil {
+			if second := s.hedge(ctx, rc, first); second != nil {
 				defer second.cancel()
 				running[second] = true
 			}
@@ -134,6 +137,7 @@
 
 // text takes one piece of an attempt's answer.
 func (rc *race) text(e *entrant, text []byte) error {
+	e.begun.Store(true)
 	e.output = append(e.output, text...)
 	if rc.stage.sink == nil {
 		return nil
@@ -168,22 +172,23 @@
 	return rc.winner != nobody
 }
 
-// hedge starts a second attempt on another warm target if the budget allows it.
-func (s *stageRun) hedge(ctx context.Context, rc *race, first router.Candidate) *entrant {
+// hedge starts a second attempt on another warm target if the budget allows it. If there
+// is none and nothing has arrived, the connection may have gone silent, and the second
+// attempt goes to the same target over a new one.
+func (s *stageRun) hedge(ctx context.Context, rc *race, first *entrant) *entrant {
 	if rc.decided() {
 		return nil
 	}
-	s.tried[first.Target.Name] = true
+	slow := first.target.Target
 	candidates := s.runner.Fleet.Candidates(s.job.Document, s.stage.Kind, s.runner.World.Out)
-	var warm []router.Candidate
-	for _, c := range candidates {
-		if c.Warm && !s.tried[c.Target.Name] {
-			warm = append(warm, c)
-		}
+	others, same := s.hedgeCandidates(candidates, slow.Name)
+	decision, ok := router.Choose(router.Question{Policy: s.runner.Policy, Candidates: others, Turn: s.runner.Fleet.Turn()}).(router.Send)
+	if !ok && (same == nil || first.begun.Load()) {
+		return nil
 	}
-	decision, ok := router.Choose(router.Question{Policy: s.runner.Policy, Candidates: warm, Turn: s.runner.Fleet.Turn()}).(router.Send)
 	if !ok {
-		return nil
+		s.runner.Links.Retire(slow.Address)
+		decision.Candidate = *same
 	}
 	contract := decision.Candidate.Target
 	reservation, direct := s.runner.Fleet.Reserve(contract, decision.Candidate.Local, s.runner.World.View(contract.DataCentre)).(fleet.Direct)
@@ -194,10 +199,25 @@
 		s.runner.Fleet.Release(contract.Name, reservation.Cold)
 		return nil
 	}
-	s.note(event.AttemptHedged, "Hedge", decision.Candidate.Target.Name, "no answer yet from "+first.Target.Name, names(candidates))
+	s.note(event.AttemptHedged, "Hedge", contract.Name, "no answer yet from "+slow.Name, names(candidates))
 	return rc.start(ctx, 1, place{candidate: decision.Candidate, reservation: reservation})
 }
 
+// hedgeCandidates returns the warm targets beside the slow one, and the slow one itself
+// if it still takes work.
+func (s *stageRun) hedgeCandidates(candidates []router.Candidate, slow string) (others []router.Candidate, same *router.Candidate) {
+	for _, c := range candidates {
+		switch {
+		case !c.Warm || c.Leaving || c.Out:
+		case c.Target.Name == slow:
+			same = &c
+		case !s.tried[c.Target.Name]:
+			others = append(others, c)
+		}
+	}
+	return others, same
+}
+
 // hedgeTimer fires when the stage is slower than almost all others of its kind.
 func (s *stageRun) hedgeTimer() hedgeTimer {
 	typical, ok := s.runner.Fleet.Quantile(s.stage.Kind, hedgeQuantile)
