--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,13 +17,12 @@
 
 // The paths and headers of the platform's HTTP interface.
 const (
-	CommitPath  = "/table/commit"
-	GetPath     = "/table/get"
-	ScanPath    = "/table/scan"
-	ObjectPath  = "/objects/"
-	HostsPath   = "/hosts"
-	WeightsPath = "/weights/"
-	HostHeader  = "Client-Host"
+	CommitPath = "/table/commit"
+	GetPath    = "/table/get"
+	ScanPath   = "/table/scan"
+	ObjectPath = "/objects/"
+	HostsPath  = "/hosts"
+	HostHeader = "Client-Host"
 	// DataCentreParameter limits the host list to one data centre.
 	DataCentreParameter = "data-centre"
 )
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -279,6 +279,26 @@
 	}
 }
 
+// guardianOf returns the daemon that guards the target.
+func (c *cluster) guardianOf(name string) *daemonProcess {
+	host := ""
+	Expect(c.operate(c.daemons[0], func(ctx context.Context, client operator.OperatorClient) error {
+		reply, err := client.Status(ctx, &operator.StatusRequest{})
+		for _, t := range reply.GetDaemons()[0].GetTargets() {
+			if t.Name == name {
+				host = t.Guardian
+			}
+		}
+		return err
+	})).To(Succeed())
+	for _, d := range c.daemons {
+		if d.host == host {
+			return d
+		}
+	}
+	return nil
+}
+
 // answer is what a caller got.
 type answer struct {
 	Status    int
--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -115,4 +115,72 @@
 				tokens, requests/measureTime.Seconds(), 1e3*used/requests, 1e6*used/requests/float64(tokens), float64(after.memory)/1e6)
 		})
 	}
+
+	It("of the key mechanisms, against the same requests without a key", func() {
+		c := newCluster(2, centres[:1], "-log-level", "8")
+		c.awaitVersion(c.apply(c.daemons[0], users(
+			c.addTarget("llm", centres[0], standintarget.Profile{Kind: "llm"}),
+			c.addTarget("order", centres[0], standintarget.Profile{Kind: "order"}),
+		)))
+		for i := range 30 {
+			c.run(c.daemons[0], "stop-plan", "", caller.RunBody{Tier: "later", Input: fmt.Sprint("warm ", i)})
+			c.run(c.daemons[0], "confirm", fmt.Sprint("warm-", i), caller.RunBody{Tier: "later", Input: "warm"})
+		}
+		const each = 400
+		for _, m := range []struct {
+			name, pipeline string
+			key            func(int) string
+			at             *daemonProcess
+		}{
+			{"no key, idempotent", "stop-plan", func(int) string { return "" }, c.daemons[0]},
+			{"ticket at its daemon", "confirm", func(int) string { return c.ticket(c.daemons[0]) }, c.daemons[0]},
+			{"ticket at another daemon", "confirm", func(int) string { return c.ticket(c.daemons[0]) }, c.daemons[1]},
+			{"claim", "confirm", func(i int) string { return fmt.Sprint("claim-", i) }, c.daemons[0]},
+		} {
+			keys := make([]string, each)
+			for i := range keys {
+				keys[i] = m.key(i)
+			}
+			before := c.usage()
+			for i, key := range keys {
+				a := c.run(m.at, m.pipeline, key, caller.RunBody{Tier: "later", Input: fmt.Sprint("run ", i)})
+				Expect(a.Status).To(Equal(200), string(a.Raw))
+			}
+			after := c.usage()
+			GinkgoWriter.Printf("keys daemons 2: %s: %.2f ms a request, processor %.2f ms, peer %.0f B, table %.2f commits, in turn\n", m.name,
+				float64(after.at.Sub(before.at).Microseconds())/1e3/each, 1e3*(after.processor-before.processor).Seconds()/each,
+				float64(after.peer-before.peer)/each, float64(after.platform.Commits-before.platform.Commits)/each)
+		}
+	})
+
+	for _, how := range []string{"its process starts anew", "its host leaves the list"} {
+		It("of cold targets after the guardian dies and "+how, func() {
+			c := newCluster(3, centres[:1])
+			c.awaitVersion(c.apply(c.daemons[0], users(coldFleet(c, centres[0], 1, 1)...)))
+			l := newLoad(c, 1, 6, "stop-plan", "later")
+			Eventually(func() int { return coldRuns(c) }, 10*time.Second).Should(BeNumerically(">", 10))
+			victim := c.guardianOf("llm-ga-a-0")
+			victim.kill()
+			died := time.Now()
+			if how == "its process starts anew" {
+				time.Sleep(300 * time.Millisecond)
+				victim.start()
+			} else {
+				time.Sleep(2 * time.Second)
+				c.listHosts(victim.host)
+			}
+			var unused time.Duration
+			Eventually(func() bool {
+				for _, e := range c.journal("llm-ga-a-0").Executions {
+					if e.At.After(died.Add(200 * time.Millisecond)) {
+						unused = e.At.Sub(died)
+						return true
+					}
+				}
+				return false
+			}, 30*time.Second, 50*time.Millisecond).Should(BeTrue())
+			l.end()
+			GinkgoWriter.Printf("recovery daemons 3: cold capacity unused for %v after the guardian died and %s (longest run 5 s)\n", unused, how)
+		})
+	}
 })
