fix(latency): forget a target's duration when nobody has used it for 3 s

Cause: after every target had been slow (4.8 s a stage) under callers that can wait, short deadlines (4 s) were refused for over 20 s after the targets were fast again: each refusal kept away the very measurement that would have ended it. Ruled out: the targets and the queue, which was empty.

Change: a target's average counts for 3 s after its last measurement, and what is refused as infeasible is judged by the fastest usable target instead of the kind's median over 30 s.

--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -168,8 +168,8 @@
 	return d.admission.Enter(owner)
 }
 
-// feasible refuses a request whose stages, at their typical durations and behind the
-// more urgent stages that wait, can't end in time.
+// feasible refuses a request whose stages, on the fastest targets and behind the more
+// urgent stages that wait, can't end in time.
 func (d *Daemon) feasible(job run.Job) error {
 	if d.runner.Policy != router.Price {
 		return nil
@@ -178,12 +178,12 @@
 	var typical []time.Duration
 	total := time.Duration(0)
 	for _, s := range p.Stages {
-		median, ok := d.fleet.Quantile(s.Kind, 0.5)
+		best, ok := d.runner.Typical(job.Document, s.Kind)
 		if !ok {
 			return nil
 		}
-		typical = append(typical, median)
-		total += median
+		typical = append(typical, best)
+		total += best
 	}
 	startBy := job.Request.Deadline.Add(-total)
 	for _, s := range p.Stages {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -114,7 +114,7 @@
 
 func (f *Fleet) candidate(now time.Time, contract target.Target, out bool) router.Candidate {
 	s := f.state(contract.Name)
-	typical, _ := f.book.Target(contract.Name)
+	typical, _ := f.book.Target(now, contract.Name)
 	c := router.Candidate{
 		Target:   contract,
 		Warm:     s.warm(now),
--- a/internal/latency/latency.go
+++ b/internal/latency/latency.go
@@ -16,6 +16,9 @@
 const (
 	// Window is the time after which measurements begin to be forgotten.
 	Window = 30 * time.Second
+	// TargetWindow is the time for which a target's average counts after its last
+	// measurement.
+	TargetWindow = 3 * time.Second
 	// MinSamples is the number of measurements below which no quantile is given.
 	MinSamples       = 10
 	smallestMicros   = 50
@@ -28,7 +31,13 @@
 // Book holds the durations; the zero value is empty. It is not safe for concurrent use.
 type Book struct {
 	kinds   map[string]*windows
-	targets map[string]time.Duration
+	targets map[string]average
+}
+
+// average is the smoothed duration of one target and the time of its last measurement.
+type average struct {
+	duration time.Duration
+	at       time.Time
 }
 
 // windows are two histograms, of which the newer one is being filled.
@@ -42,7 +51,7 @@
 func (b *Book) Record(now time.Time, kind, target string, d time.Duration) {
 	if b.kinds == nil {
 		b.kinds = map[string]*windows{}
-		b.targets = map[string]time.Duration{}
+		b.targets = map[string]average{}
 	}
 	w := b.kinds[kind]
 	if w == nil {
@@ -51,12 +60,13 @@
 	}
 	w.rotate(now)
 	_ = w.current.RecordValue(min(max(d.Microseconds(), smallestMicros), largestMicros))
-	average, ok := b.targets[target]
-	if !ok {
-		b.targets[target] = d
-		return
+	known := b.targets[target]
+	if now.Sub(known.at) >= TargetWindow {
+		known.duration = d
 	}
-	b.targets[target] = average + time.Duration(smoothing*float64(d-average))
+	known.duration += time.Duration(smoothing * float64(d-known.duration))
+	known.at = now
+	b.targets[target] = known
 }
 
 // Quantile returns the duration below which the share q of the kind's stages ended,
@@ -77,10 +87,15 @@
 	return time.Duration(newer) * time.Microsecond, true
 }
 
-// Target returns the smoothed duration of the target, and whether it has one.
-func (b *Book) Target(target string) (time.Duration, bool) {
-	d, ok := b.targets[target]
-	return d, ok
+// Target returns the smoothed duration of the target, and whether there was a
+// measurement in its window. Without one nothing is known: a target that nobody used
+// because it was slow must not stay slow for ever.
+func (b *Book) Target(now time.Time, target string) (time.Duration, bool) {
+	known, ok := b.targets[target]
+	if !ok || now.Sub(known.at) >= TargetWindow {
+		return 0, false
+	}
+	return known.duration, true
 }
 
 // Forget drops what is known of the target, which has started anew.
--- a/internal/run/schedule.go
+++ b/internal/run/schedule.go
@@ -230,24 +230,36 @@
 // hopeless reports whether the stages that remain can't be expected to end in time, even
 // if this one started now on the fastest target.
 func (s *stageRun) hopeless(candidates []router.Candidate) bool {
-	fastest := time.Duration(0)
-	for _, c := range candidates {
-		if c.Leaving || c.Out || c.Typical == 0 {
-			continue
-		}
-		if fastest == 0 || c.Typical < fastest {
-			fastest = c.Typical
-		}
-	}
-	if fastest == 0 {
+	best, known := fastest(candidates)
+	if !known {
 		return false
 	}
 	later := time.Duration(0)
 	for _, stage := range s.pipeline.Stages[s.index+1:] {
-		typical, _ := s.runner.Fleet.Quantile(stage.Kind, medianQuantile)
+		typical, _ := s.runner.Typical(s.job.Document, stage.Kind)
 		later += typical
 	}
-	return s.runner.Clock.Now().Add(fastest + later).After(s.job.Request.Deadline)
+	return s.runner.Clock.Now().Add(best + later).After(s.job.Request.Deadline)
+}
+
+// fastest returns the shortest duration that was measured lately on a usable target.
+func fastest(candidates []router.Candidate) (time.Duration, bool) {
+	best := time.Duration(0)
+	for _, c := range candidates {
+		if c.Leaving || c.Out || c.Typical == 0 {
+			continue
+		}
+		if best == 0 || c.Typical < best {
+			best = c.Typical
+		}
+	}
+	return best, best > 0
+}
+
+// Typical returns the duration of the kind's stages on the fastest usable target, and
+// whether it was measured lately.
+func (r *Runner) Typical(document catalog.Document, kind string) (time.Duration, bool) {
+	return fastest(r.Fleet.Candidates(document, kind, r.World.Out))
 }
 
 // startBy is the latest time at which the stage can start and still end in time.
