fix(ablation): print every failing expectation of a switched-off proof

Cause: the filter for the location lines also hid messages that begin with i, such as that of the target that ignores fencing numbers.

--- a/test/ablation/run.sh
+++ b/test/ablation/run.sh
@@ -17,5 +17,5 @@
   exit 1
 fi
 echo "$name: the proof fails without its mechanism, seeds $seeds:"
-grep -A2 -m3 -E '\[FAILED\] [^i]' "$copy/out" | grep -v '^--' | head -12
+grep -A2 -E '\[FAILED\] ' "$copy/out" | grep -vE '^--|FAILED\] in \[|logs of' | head -12
 grep -E '^  submissions' "$copy/out" || true
