--- a/internal/daemon/world.go
+++ b/internal/daemon/world.go
@@ -206,7 +206,7 @@
 	})
 }
 
-// seenBy turns a peer's failure into the log's reason.
+// reason returns a failed call as it is logged.
 func reason(err error) string {
 	if peer.NotSent(err) {
 		return "not sent: " + err.Error()
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,56 @@
+package membership_test
+
+import (
+	"testing"
+
+	"github.com/sequoiapick/sequoiapick/internal/membership"
+)
+
+func member(host, incarnation string) membership.Member {
+	return membership.Member{Host: host, Incarnation: incarnation}
+}
+
+func TestEveryChangeRaisesTheEpoch(t *testing.T) {
+	v, _ := membership.View{}.Join(member("a", "a1"))
+	v, _ = v.Join(member("b", "b1"))
+	again, changed := v.Join(member("b", "b1"))
+	if changed || again.Epoch != 2 {
+		t.Errorf("joining twice changed the view: %+v", again)
+	}
+	v, _ = v.Join(member("a", "a2"))
+	if _, ok := v.Member("a1"); ok || len(v.Members) != 2 || len(v.Departed) != 1 || v.Epoch != 3 {
+		t.Errorf("a new incarnation doesn't replace the old one: %+v", v)
+	}
+	v, _ = v.Release("b1", "a2")
+	if len(v.Departed) != 1 || len(v.Heirs) != 1 || v.Epoch != 4 {
+		t.Errorf("a release counts as a departure: %+v", v)
+	}
+}
+
+func TestSweepNeedsAHostThatWasListed(t *testing.T) {
+	v, _ := membership.View{}.Join(member("a", "a1"))
+	v, _ = v.Join(member("b", "b1"))
+	if _, changed := v.Sweep(map[string]bool{"a": true}); changed {
+		t.Error("a host that was never listed was swept")
+	}
+	v, _ = v.Mark(map[string]bool{"a": true, "b": true})
+	if _, changed := v.Sweep(nil); changed {
+		t.Error("an empty list swept members")
+	}
+	swept, changed := v.Sweep(map[string]bool{"a": true})
+	if !changed || len(swept.Members) != 1 || len(swept.Departed) != 1 || swept.Epoch != v.Epoch+1 {
+		t.Errorf("a host that left the list stays: %+v", swept)
+	}
+}
+
+func TestGuardianIsTheFirstOfTheRankedMembers(t *testing.T) {
+	v := membership.View{}
+	for _, host := range []string{"a", "b", "c", "d"} {
+		v, _ = v.Join(member(host, host+"1"))
+	}
+	for _, name := range []string{"llm-1", "llm-2", "orders", "x"} {
+		if m, _ := v.Guardian(name); m != v.Ranked(name)[0] {
+			t.Errorf("%s: guardian %v, first ranked %v", name, m, v.Ranked(name)[0])
+		}
+	}
+}
