feat(guardian): hold only the targets that a departed member may have used

Change: a member that had told this daemon that it acts on the view before can only have sent to the targets that it guarded there and to those it reported as busy; other targets aren't held. For this a view must name every departure of its own epoch, however many, and a daemon reads its view and its busy targets at one moment. Contracts may name a longest run of up to 1 h.

--- a/internal/daemon/member.go
+++ b/internal/daemon/member.go
@@ -269,8 +269,7 @@
 // announceAdoption tells every member of this data centre the adopted epoch and what
 // is in flight to targets that others guard, until each has heard the newest.
 func (d *Daemon) announceAdoption(ctx context.Context) error {
-	view := d.fleet.View()
-	busy := d.fleet.Busy()
+	view, busy := d.fleet.Adoption()
 	if d.adopted.epoch != view.Epoch || !maps.Equal(d.adopted.busy, busy) {
 		d.adopted.epoch = view.Epoch
 		d.adopted.busy = busy
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -373,11 +373,12 @@
 	f.gate.PeerAdopted(incarnation, epoch, busy)
 }
 
-// Busy returns what is in flight to targets that this daemon doesn't guard.
-func (f *Fleet) Busy() map[string]int {
+// Adoption returns the adopted membership and, as of the same moment, what is in flight
+// to targets that this daemon doesn't guard in it.
+func (f *Fleet) Adoption() (membership.View, map[string]int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.gate.Busy()
+	return f.gate.View(), f.gate.Busy()
 }
 
 // Status is what this daemon knows of one target.
--- a/internal/guardian/guardian.go
+++ b/internal/guardian/guardian.go
@@ -67,11 +67,33 @@
 	inFlight  map[string]int
 	cold      map[string]int
 	active    map[string]uint64
-	departed  map[string]time.Time
-	lastDeath time.Time
+	departed  map[string]bool
+	deaths    []death
 	orphans   []orphan
 }
 
+// death is a departed member that may still have requests in flight.
+type death struct {
+	incarnation string
+	at          time.Time
+	// known says that the member acted on the view when it departed, so that only the
+	// targets that it guarded there are in doubt.
+	known bool
+	view  membership.View
+}
+
+// holds reports whether the departed member may still have requests at the target.
+func (d death) holds(now time.Time, contract target.Target) bool {
+	if !now.Before(d.at.Add(contract.RunLimit())) {
+		return false
+	}
+	if !d.known {
+		return true
+	}
+	m, _ := d.view.Guardian(contract.Name)
+	return m.Incarnation == d.incarnation
+}
+
 // orphan counts what a departed member still had in flight to a target that it no
 // longer guarded.
 type orphan struct {
@@ -119,14 +141,38 @@
 	}
 }
 
+// noteDepartures records the members that departed. One that had told this daemon that
+// it acts on the view before can only have sent to the targets that it guarded there,
+// and to those that it reported as busy.
 func (g *Gate) noteDepartures(now time.Time, view membership.View) {
+	contiguous := view.Epoch == g.view.Epoch+1
+	before := g.departed
+	g.departed = map[string]bool{}
+	g.forgetDeaths(now)
 	for _, d := range view.Departed {
-		if _, known := g.departed[d.Incarnation]; known {
+		g.departed[d.Incarnation] = true
+		if before[d.Incarnation] {
 			continue
 		}
-		g.departed[d.Incarnation] = now
-		g.lastDeath = now
+		_, member := g.view.Member(d.Incarnation)
+		g.deaths = append(g.deaths, death{
+			incarnation: d.Incarnation,
+			at:          now,
+			known:       contiguous && member && g.peers[d.Incarnation].epoch == g.view.Epoch,
+			view:        g.view,
+		})
+	}
+}
+
+// forgetDeaths drops the departures after which no request can still run anywhere.
+func (g *Gate) forgetDeaths(now time.Time) {
+	kept := g.deaths[:0]
+	for _, d := range g.deaths {
+		if now.Before(d.at.Add(target.LongestRun)) {
+			kept = append(kept, d)
+		}
 	}
+	g.deaths = kept
 }
 
 func (g *Gate) forgetPeers(now time.Time) {
@@ -213,8 +259,10 @@
 			return "member " + m.Host + " has not adopted the epoch"
 		}
 	}
-	if !g.lastDeath.IsZero() && now.Before(g.lastDeath.Add(contract.RunLimit())) {
-		return "requests of a departed member may still run"
+	for _, d := range g.deaths {
+		if d.holds(now, contract) {
+			return "requests of a departed member may still run"
+		}
 	}
 	g.active[contract.Name] = g.view.Epoch
 	return ""
@@ -300,5 +348,5 @@
 	g.inFlight = map[string]int{}
 	g.cold = map[string]int{}
 	g.active = map[string]uint64{}
-	g.departed = map[string]time.Time{}
+	g.departed = map[string]bool{}
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -18,7 +18,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// MaxDeparted bounds the departures that a view remembers.
+// MaxDeparted bounds the departures of earlier epochs that a view remembers; those of
+// its own epoch are all in it.
 const MaxDeparted = 32
 
 // Member is one daemon.
@@ -168,8 +169,8 @@
 
 func (v *View) depart(m Member) {
 	v.Departed = append(v.Departed, Departure{Host: m.Host, Incarnation: m.Incarnation, Epoch: v.Epoch})
-	if len(v.Departed) > MaxDeparted {
-		v.Departed = v.Departed[len(v.Departed)-MaxDeparted:]
+	for len(v.Departed) > MaxDeparted && v.Departed[0].Epoch < v.Epoch {
+		v.Departed = v.Departed[1:]
 	}
 }
 
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -43,6 +43,21 @@
 	}
 }
 
+func TestSweptMembersAreAllRemembered(t *testing.T) {
+	v := membership.View{}
+	listed := map[string]bool{}
+	for n := range 2 * membership.MaxDeparted {
+		host := string(rune('a'+n%26)) + string(rune('a'+n/26))
+		listed[host] = true
+		v, _ = v.Join(member(host, host+"1"))
+	}
+	v, _ = v.Mark(listed)
+	swept, _ := v.Sweep(map[string]bool{"aa": true})
+	if got, want := len(swept.Departed), 2*membership.MaxDeparted-1; got != want {
+		t.Errorf("%d departures of one epoch are remembered, want %d", got, want)
+	}
+}
+
 func TestGuardianIsTheFirstOfTheRankedMembers(t *testing.T) {
 	v := membership.View{}
 	for _, host := range []string{"a", "b", "c", "d"} {
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -18,6 +18,8 @@
 const (
 	DefaultMaxInFlight = 16
 	DefaultMaxRun      = 10 * time.Second
+	// LongestRun bounds the longest run that a contract may name.
+	LongestRun = time.Hour
 )
 
 // Target is the contract of one back end.
@@ -55,6 +57,9 @@
 	if err != nil || net.ParseIP(host) == nil {
 		return problem.New(problem.Invalid, "target %q has the address %q, allowed is IP:port", t.Name, t.Address)
 	}
+	if t.MaxRun > LongestRun {
+		return problem.New(problem.Invalid, "target %q has the longest run %v, allowed is up to %v", t.Name, t.MaxRun, LongestRun)
+	}
 	if t.ColdLimit < 0 || t.MaxInFlight < 0 || t.CostMicros < 0 || t.MaxRun < 0 {
 		return problem.New(problem.Invalid, "target %q has a negative limit", t.Name)
 	}
