fix(daemon): ask the neighbours before serving, not only the table

A starting daemon took what the table said; a stale read could let it serve an older configuration than before until its first exchange with another daemon.

The platform stand-in can serve stale reads to single hosts.

Not shown failing.

--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -80,6 +80,20 @@
 	return d.exchange(ctx, chosen.member.PeerAddress)
 }
 
+// askNeighbours exchanges digests with every neighbour at once.
+func (d *Daemon) askNeighbours(ctx context.Context) {
+	found := d.neighbours()
+	ended := make(chan error, len(found))
+	for _, n := range found {
+		go func() { ended <- d.exchange(ctx, n.member.PeerAddress) }()
+	}
+	for range found {
+		if err := <-ended; err != nil {
+			d.log.Emit(event.LoopFailed, "Task", "neighbour", "Reason", reason(err))
+		}
+	}
+}
+
 func (d *Daemon) askSeeds(ctx context.Context) {
 	for _, seed := range d.Settings.Seeds() {
 		if err := d.exchange(ctx, seed); err != nil {
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -131,10 +131,12 @@
 	return nil
 }
 
-// loadConfiguration waits until the configuration is known from the platform or from
-// another daemon. Until then the daemon listens to callers but isn't ready.
+// loadConfiguration takes the highest configuration of the platform's table, whose
+// reads may be stale, and of a few other daemons. Without either the daemon listens to
+// callers but isn't ready.
 func loadConfiguration(d *Daemon, ctx context.Context) error {
 	d.poll(ctx)
+	d.askNeighbours(ctx)
 	if !d.registry.Loaded() {
 		d.askSeeds(ctx)
 	}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -44,6 +44,8 @@
 	CutHosts []string
 	// StaleReads serves reads of the table from the state when the fault was set.
 	StaleReads bool
+	// StaleHosts lists prefixes of the hosts that are served stale reads.
+	StaleHosts []string
 }
 
 // Count is the number of calls served.
@@ -155,11 +157,7 @@
 	if fault.DelayMillis > 0 {
 		time.Sleep(time.Duration(fault.DelayMillis) * time.Millisecond)
 	}
-	host := string(c.Request.Header.Peek(platform.HostHeader))
-	down := fault.Down
-	for _, prefix := range fault.CutHosts {
-		down = down || strings.HasPrefix(host, prefix)
-	}
+	down := fault.Down || listed(c, fault.CutHosts)
 	if down {
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
@@ -211,19 +209,31 @@
 	return s.revision, true
 }
 
-func (s *Server) readable() map[string]platform.Row {
-	if s.fault.StaleReads {
+// readable returns the table as the caller sees it.
+func (s *Server) readable(c *fasthttp.RequestCtx) map[string]platform.Row {
+	if s.fault.StaleReads || listed(c, s.fault.StaleHosts) {
 		return s.stale
 	}
 	return s.rows
 }
 
+// listed reports whether the caller's host has one of the prefixes.
+func listed(c *fasthttp.RequestCtx, prefixes []string) bool {
+	host := string(c.Request.Header.Peek(platform.HostHeader))
+	for _, prefix := range prefixes {
+		if strings.HasPrefix(host, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Server) get(c *fasthttp.RequestCtx) {
 	var r platform.GetRequest
 	_ = json.Unmarshal(c.PostBody(), &r)
 	s.mu.Lock()
 	s.count.Reads++
-	row, ok := s.readable()[r.Key]
+	row, ok := s.readable(c)[r.Key]
 	s.mu.Unlock()
 	reply(c, platform.GetReply{Row: row, Found: ok})
 }
@@ -234,7 +244,7 @@
 	s.mu.Lock()
 	s.count.Reads++
 	var rows []platform.Row
-	for k, row := range s.readable() {
+	for k, row := range s.readable(c) {
 		if strings.HasPrefix(k, r.Prefix) && k > r.After {
 			rows = append(rows, row)
 		}
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -1,8 +1,10 @@
 package test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"os"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	standinplatform "github.com/sequoiapick/sequoiapick/internal/standin/platform"
 	"github.com/sequoiapick/sequoiapick/pkg/operator"
 )
 
@@ -153,6 +156,22 @@
 		Expect(first.Error()).To(ContainSubstring("change change-"))
 	})
 
+	It("doesn't let a daemon start with the older configuration of a stale read", func() {
+		c := newCluster(2, centres[:1])
+		c.awaitVersion(c.apply(c.daemons[0], users()))
+		d := c.daemons[1]
+		c.fault(standinplatform.Fault{StaleHosts: []string{d.host}})
+		version := c.apply(c.daemons[0], &operator.ApplyRequest{Tiers: []*operator.Tier{{Name: "newer", DeadlineMillis: 1000}}})
+		c.awaitVersion(version)
+		d.kill()
+		d.start()
+		c.awaitReady(d)
+		body, err := os.ReadFile(d.log)
+		Expect(err).NotTo(HaveOccurred())
+		started := body[bytes.LastIndex(body, []byte("DaemonStarted")):]
+		Expect(string(started)).To(ContainSubstring(fmt.Sprintf(`"Version":%d`, version)), "it served an older configuration")
+	})
+
 	It("serves a daemon that starts while the platform is down from its peers", func() {
 		c := newCluster(2, centres[:1])
 		version := c.apply(c.daemons[0], users(smallFleet(c, centres[:1])...))
