fix(registry): compare and catch up with one reading of the version

A daemon read its version twice, to compare it with the head and to count the missing rows; another daemon raised it in between. Towards the real platform this was a scan with a negative limit.

Change: one reading serves both.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -113,7 +113,7 @@
 		r.Log.Emit(event.ConfigurationStale, "Version", h.Version, "InForce", version, "Source", "table")
 		return h, row.Revision, nil
 	}
-	if err := r.catchUp(ctx, h); err != nil {
+	if err := r.catchUp(ctx, h, version); err != nil {
 		return h, row.Revision, err
 	}
 	r.markLoaded()
@@ -126,9 +126,9 @@
 	r.loaded = true
 }
 
-// catchUp reads the snapshot, if the daemon is behind it, and the changes after it.
-func (r *Registry) catchUp(ctx context.Context, h head) error {
-	version := r.Document().Version
+// catchUp reads the snapshot, if the version is behind it, and the changes after it. The
+// version was in force when the head was compared with it; others may raise it meanwhile.
+func (r *Registry) catchUp(ctx context.Context, h head, version uint64) error {
 	if version == h.Version {
 		return nil
 	}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,88 @@
+package registry_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/catalog"
+	"github.com/sequoiapick/sequoiapick/internal/platform"
+	"github.com/sequoiapick/sequoiapick/internal/registry"
+	"github.com/sequoiapick/sequoiapick/pkg/tier"
+)
+
+// risingTable has a head row whose version rises with every read.
+type risingTable struct {
+	version atomic.Uint64
+	limits  atomic.Int64
+}
+
+func (t *risingTable) Get(context.Context, string) (platform.Row, bool, error) {
+	value, err := json.Marshal(struct{ Version uint64 }{t.version.Add(1)})
+	return platform.Row{Revision: 1, Value: value}, true, err
+}
+
+func (t *risingTable) Scan(_ context.Context, _, _ string, limit int) ([]platform.Row, error) {
+	if limit < 1 {
+		t.limits.Add(1)
+	}
+	return nil, nil
+}
+
+func (t *risingTable) Commit(context.Context, platform.Transaction) (uint64, error) {
+	return 0, nil
+}
+
+func change(version uint64) catalog.Change {
+	return catalog.Change{Version: version, Tiers: []tier.Tier{{Name: "now", Deadline: time.Second}}}
+}
+
+func TestSyncBesideOtherSourcesNeverAsksForLessThanNothing(t *testing.T) {
+	table := &risingTable{}
+	r := &registry.Registry{Table: table}
+	ended := make(chan error, 1)
+	const versions = 20000
+	go func() {
+		for version := uint64(1); version <= versions; version++ {
+			if err := r.Raise([]catalog.Change{change(version)}, "peer"); err != nil {
+				ended <- err
+				return
+			}
+		}
+		ended <- nil
+	}()
+	for r.Document().Version < versions {
+		table.version.Store(r.Document().Version)
+		if err := r.Sync(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if n := table.limits.Load(); n > 0 {
+		t.Errorf("%d scans asked for less than one row", n)
+	}
+}
+
+func TestLowerVersionIsPassedOver(t *testing.T) {
+	r := &registry.Registry{}
+	if err := r.Raise([]catalog.Change{change(1), change(2)}, "peer"); err != nil {
+		t.Fatal(err)
+	}
+	older, err := catalog.Encode(catalog.Document{Version: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.RaiseSnapshot(older); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Raise([]catalog.Change{change(1)}, "peer"); err != nil || r.Document().Version != 2 {
+		t.Errorf("version %d, error %v, want version 2", r.Document().Version, err)
+	}
+	if err := r.Raise([]catalog.Change{change(4)}, "peer"); err == nil {
+		t.Error("a gap between versions was accepted")
+	}
+}
