--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -31,6 +31,8 @@
 	// saveTimeout bounds the time spent on saving one outcome.
 	saveTimeout = 30 * time.Second
 	savePause   = time.Second
+	// saveWait is the time for which an answer waits until its outcome is saved.
+	saveWait = 250 * time.Millisecond
 )
 
 // Owners reaches the daemons that own keys.
@@ -192,11 +194,25 @@
 	}
 	k.finish(s.ID, outcome)
 	if claimed && !(outcome.Failure != "" && outcome.Rerunnable) {
-		k.saves.Go(func() { k.save(s, d.Nonce, outcome) })
+		k.saveSoon(s, d.Nonce, outcome)
 	}
 	return outcome
 }
 
+// saveSoon saves the outcome before the caller hears of it, so that a repeat is answered
+// even if this daemon dies next; while the platform is slow or down it goes on later.
+func (k *Keeper) saveSoon(s Submission, nonce string, outcome idempotency.Outcome) {
+	saved := make(chan struct{})
+	k.saves.Go(func() {
+		defer close(saved)
+		k.save(s, nonce, outcome)
+	})
+	select {
+	case <-saved:
+	case <-k.Clock.After(saveWait):
+	}
+}
+
 // claim makes this daemon the owner of the key. Done says that the outcome is final.
 func (k *Keeper) claim(ctx context.Context, s Submission, nonce string) (outcome idempotency.Outcome, done bool) {
 	value, err := json.Marshal(row{Owner: k.Incarnation, Nonce: nonce, Fingerprint: s.Fingerprint})
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -45,15 +45,15 @@
 		return d.handleDigest(c.Digest)
 	case *peerpb.Call_Changes:
 		d.metrics.PeerCall("Changes")
-		return acknowledge(d.takeIn(c.Changes, "peer"))
+		return d.acknowledge(d.takeIn(c.Changes, "peer"))
 	case *peerpb.Call_Adopted:
 		d.metrics.PeerCall("Adopted")
 		d.handleAdopted(c.Adopted)
-		return acknowledge(nil)
+		return d.acknowledge(nil)
 	case *peerpb.Call_Notice:
 		d.metrics.PeerCall("Notice")
 		d.handleNotice(c.Notice)
-		return acknowledge(nil)
+		return d.acknowledge(nil)
 	case *peerpb.Call_Handover:
 		d.metrics.PeerCall("Handover")
 		return d.handleHandover(c.Handover)
@@ -69,8 +69,13 @@
 	}
 }
 
-func acknowledge(err error) (*peerpb.Reply, error) {
-	return &peerpb.Reply{Kind: &peerpb.Reply_Ack{Ack: &peerpb.Ack{Accepted: err == nil}}}, err
+// acknowledge tells the caller whether its message was taken in; one that wasn't, because
+// earlier changes are missing, is answered by an exchange of digests.
+func (d *Daemon) acknowledge(err error) (*peerpb.Reply, error) {
+	if err != nil {
+		d.log.Emit(event.LoopFailed, "Task", "peer call", "Reason", err.Error())
+	}
+	return &peerpb.Reply{Kind: &peerpb.Reply_Ack{Ack: &peerpb.Ack{Accepted: err == nil}}}, nil
 }
 
 func (d *Daemon) handleAdopted(a *peerpb.Adopted) {
@@ -216,15 +221,14 @@
 // handleHandover takes over the keys of a stopping daemon. A daemon that is stopping
 // itself says that it hasn't, so that another one can be asked.
 func (d *Daemon) handleHandover(h *peerpb.Handover) (*peerpb.Reply, error) {
-	refusal := &peerpb.Reply{Kind: &peerpb.Reply_Ack{Ack: &peerpb.Ack{Accepted: false}}}
 	if d.stopping.Load() {
-		return refusal, nil
+		return d.acknowledge(problem.New(problem.Stopping, "the daemon is stopping"))
 	}
 	var handover claim.Handover
 	if err := json.Unmarshal(h.Entries, &handover); err != nil {
-		return refusal, nil
+		return d.acknowledge(err)
 	}
 	d.claims.Inherit(handover)
 	d.noteHeirs(handover.Incarnations, d.incarnation)
-	return acknowledge(nil)
+	return d.acknowledge(nil)
 }
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -59,7 +59,7 @@
 	d.spreadMu.Lock()
 	defer d.spreadMu.Unlock()
 	last := d.spread
-	message := &peerpb.Changes{ID: uuid.NewString(), Origin: d.Settings.Host, OriginDataCentre: d.Settings.DataCentre}
+	message := &peerpb.Changes{ID: uuid.NewString(), Origin: d.Settings.Host}
 	_, changes, err := d.registry.Since(last.version)
 	if err != nil {
 		return nil, err
@@ -155,7 +155,7 @@
 		}
 		abroad := &peerpb.Changes{
 			Changes: message.Changes, Orders: message.Orders, Heirs: message.Heirs, Members: message.Members,
-			ID: message.ID, Origin: ranked[0].Host, OriginDataCentre: name,
+			ID: message.ID, Origin: ranked[0].Host,
 		}
 		d.background(func(ctx context.Context) {
 			for _, m := range ranked[:min(len(ranked), abroadTries)] {
