--- a/cmd/sequoiapick/main.go
+++ b/cmd/sequoiapick/main.go
@@ -18,9 +18,9 @@
 	defer stop()
 	root := &ffcli.Command{
 		Name:        "sequoiapick",
-		ShortUsage:  "sequoiapick <serve|version> [flags]",
+		ShortUsage:  "sequoiapick <serve|entry|version> [flags]",
 		ShortHelp:   "serves multi-stage model pipelines",
-		Subcommands: []*ffcli.Command{newServe(), newVersion()},
+		Subcommands: []*ffcli.Command{newServe(), newEntry(), newVersion()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(ctx, os.Args[1:])
--- /dev/null
+++ b/internal/dispatch/plan.go
@@ -0,0 +1,290 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// overdueRatio is the duration of a call over the expected one beyond which its pieces
+	// are given to another target as well; ordinary calls differ by a few percent.
+	overdueRatio = 1.7
+	// overdueSlack is added to it, for the network and a busy processor.
+	overdueSlack = 60 * time.Millisecond
+	// tooSlow is the slowness beyond which a target is used only when no other is free.
+	tooSlow = 1.8
+	// priorityStep is how much earlier than its time a request is due for each rank that it
+	// stands above another.
+	priorityStep = 120 * time.Millisecond
+)
+
+// Tick looks at time-outs; it must be called every few tens of milliseconds while there
+// is work.
+func (p *Planner) Tick(now time.Time) []Action {
+	for _, c := range p.calls {
+		p.hedge(now, c)
+	}
+	p.plan(now)
+	return p.take()
+}
+
+// Busy reports whether anything waits or runs.
+func (p *Planner) Busy() bool {
+	if len(p.calls) > 0 {
+		return true
+	}
+	for _, pl := range p.services {
+		if len(pl.tasks) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// hedge queues the pieces of an overdue call again; whichever result comes first counts.
+func (p *Planner) hedge(now time.Time, c *call) {
+	limit := time.Duration(float64(c.expected)*overdueRatio) + overdueSlack
+	if c.hedged || now.Sub(c.started) < limit {
+		return
+	}
+	c.hedged = true
+	c.target.slowness = max(c.target.slowness, overdueRatio)
+	for _, ref := range c.pieces {
+		s := ref.stage
+		if p.jobs[s.job.ID] == s.job && !s.released && s.queued && s.results[ref.index].handle == "" {
+			p.enqueue(s, ref.index)
+		}
+	}
+}
+
+// plan starts calls while there are free targets and waiting pieces.
+func (p *Planner) plan(now time.Time) {
+	for _, pl := range p.services {
+		if len(pl.tasks) == 0 {
+			continue
+		}
+		p.rejectLate(now, pl)
+		p.planPool(now, pl)
+	}
+}
+
+// rejectLate gives up the jobs that can't be done before their deadline any more.
+func (p *Planner) rejectLate(now time.Time, pl *pool) {
+	var late []*job
+	for _, t := range pl.tasks {
+		if now.Add(p.remaining(t.stage)).After(t.stage.job.Deadline) {
+			late = append(late, t.stage.job)
+		}
+	}
+	for _, j := range late {
+		p.reject(j, Reject{Job: j.ID, Reason: TooLate})
+	}
+}
+
+// remaining is the shortest time in which the stage and those behind it can be done.
+func (p *Planner) remaining(s *stageState) time.Duration {
+	longest := time.Duration(0)
+	for _, other := range s.job.stages {
+		if len(other.results) > 0 && slices.Contains(other.plan.After, s.index) {
+			longest = max(longest, p.remaining(other))
+		}
+	}
+	return longest + p.shortest(s)
+}
+
+// shortest is the time of a call that carries the missing pieces of the stage alone.
+func (p *Planner) shortest(s *stageState) time.Duration {
+	pl := p.pool(s.plan.Service)
+	return pl.batch.CallTime + pl.batch.PieceTime*time.Duration(min(s.missing, pl.batch.Size))
+}
+
+func (p *Planner) planPool(now time.Time, pl *pool) {
+	free := pl.freeTargets(now)
+	if len(free) == 0 {
+		return
+	}
+	p.order(now, pl)
+	for len(free) > 0 && len(pl.tasks) > 0 {
+		i := pl.choose(free, pl.tasks[0])
+		t := free[i]
+		free = slices.Delete(free, i, i+1)
+		if !p.startCall(now, pl, t, free) && len(free) == 0 {
+			return
+		}
+	}
+}
+
+func (pl *pool) freeTargets(now time.Time) []*targetState {
+	var free []*targetState
+	for _, t := range pl.targets {
+		if !t.Closed && len(t.running) < pl.batch.Slots && !now.Before(t.pausedUntil) {
+			free = append(free, t)
+		}
+	}
+	return free
+}
+
+// order sorts the tasks by urgency: first those that can still be on time, by the time at
+// which they must start.
+func (p *Planner) order(now time.Time, pl *pool) {
+	type key struct {
+		late  bool
+		start time.Time
+	}
+	keys := make(map[*task]key, len(pl.tasks))
+	for _, t := range pl.tasks {
+		j := t.stage.job
+		start := j.Aim.Add(-p.remaining(t.stage))
+		keys[t] = key{late: now.After(start), start: start.Add(time.Duration(j.Priority) * priorityStep)}
+	}
+	slices.SortStableFunc(pl.tasks, func(a, b *task) int {
+		ka, kb := keys[a], keys[b]
+		if ka.late != kb.late {
+			if ka.late {
+				return 1
+			}
+			return -1
+		}
+		return ka.start.Compare(kb.start)
+	})
+}
+
+// choose returns the index of the free target for the task: a fast one, near the inputs.
+func (pl *pool) choose(free []*targetState, t *task) int {
+	near := t.dataCentre()
+	best, bestScore := 0, -1.0
+	for i, f := range free {
+		score := 0.0
+		if f.slowness < tooSlow {
+			score += 4
+		}
+		if f.DataCentre == near {
+			score += 2
+		}
+		if pl.batch.RoomBytes > 0 {
+			score += 1 - float64(f.used)/float64(pl.batch.RoomBytes)
+		}
+		if score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// dataCentre is where most of the inputs of the task are, or else the job's.
+func (t *task) dataCentre() string {
+	bytes := map[string]int64{}
+	best, most := t.stage.job.DataCentre, int64(0)
+	for _, before := range t.stage.plan.After {
+		for _, r := range t.stage.job.stages[before].results {
+			if r.target == nil {
+				continue
+			}
+			bytes[r.target.DataCentre] += r.bytes
+			if n := bytes[r.target.DataCentre]; n > most {
+				best, most = r.target.DataCentre, n
+			}
+		}
+	}
+	return best
+}
+
+// startCall fills a call for the target in the order of the tasks and reports whether
+// anything was sent. Tasks whose inputs are where another free target is are left to it.
+func (p *Planner) startCall(now time.Time, pl *pool, t *targetState, others []*targetState) bool {
+	c := &call{target: t, started: now, expected: pl.batch.CallTime}
+	var pieces []Piece
+	for i, tk := range pl.tasks {
+		if len(c.pieces) >= pl.batch.Size {
+			break
+		}
+		if i > 0 && tk.prefers(t, others) {
+			continue
+		}
+		p.fill(now, pl, c, tk, &pieces)
+	}
+	if len(c.pieces) == 0 {
+		return false
+	}
+	pl.tasks = slices.DeleteFunc(pl.tasks, func(tk *task) bool { return len(tk.waiting) == 0 })
+	c.expected = time.Duration(float64(c.expected) * max(t.slowness, 1))
+	p.nextCall++
+	c.id = p.nextCall
+	p.calls[c.id] = c
+	t.running[c.id] = c
+	t.used += c.bytes
+	p.actions = append(p.actions, StartCall{Call: c.id, Target: t.Target, Pieces: pieces, Expected: c.expected})
+	return true
+}
+
+// prefers reports whether the task is better given to one of the other free targets.
+func (t *task) prefers(this *targetState, others []*targetState) bool {
+	near := t.dataCentre()
+	if this.DataCentre == near {
+		return false
+	}
+	for _, o := range others {
+		if o.DataCentre == near && o.slowness < tooSlow {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Planner) fill(now time.Time, pl *pool, c *call, tk *task, pieces *[]Piece) {
+	s := tk.stage
+	inputs, ok := s.inputs()
+	if !ok {
+		return
+	}
+	kept := tk.waiting[:0]
+	for _, index := range tk.waiting {
+		if s.results[index].handle != "" {
+			continue
+		}
+		if len(c.pieces) >= pl.batch.Size || !pl.hasRoom(c, s.plan.ResultBytes) || c.has(s, index) {
+			kept = append(kept, index)
+			continue
+		}
+		c.pieces = append(c.pieces, pieceRef{s, index})
+		c.bytes += s.plan.ResultBytes
+		c.expected += pl.batch.PieceTime
+		s.results[index].calls++
+		piece := Piece{Job: s.job.ID, Stage: s.index, Index: index, Left: s.job.Deadline.Sub(now)}
+		if len(s.plan.After) == 0 {
+			piece.Key = s.job.Key
+		} else {
+			piece.Inputs = inputs
+		}
+		*pieces = append(*pieces, piece)
+	}
+	tk.waiting = kept
+}
+
+func (c *call) has(s *stageState, index int) bool {
+	for _, other := range c.target.running {
+		if slices.Contains(other.pieces, pieceRef{s, index}) {
+			return true
+		}
+	}
+	return false
+}
+
+func (pl *pool) hasRoom(c *call, bytes int64) bool {
+	return pl.batch.RoomBytes <= 0 || c.target.used+c.bytes+bytes <= pl.batch.RoomBytes
+}
+
+// inputs returns the results that the pieces of the stage need.
+func (s *stageState) inputs() ([]string, bool) {
+	var handles []string
+	for _, before := range s.plan.After {
+		b := s.job.stages[before]
+		if b.missing > 0 || b.released {
+			return nil, false
+		}
+		for _, r := range b.results {
+			handles = append(handles, r.handle)
+		}
+	}
+	return handles, true
+}
--- /dev/null
+++ b/internal/entry/host.go
@@ -0,0 +1,415 @@
+// Package entry runs the daemon of one entry host on the platform: it reads the host's
+// settings, learns configuration, targets and members, and serves clients.
+//
+// # Usage
+//
+//	h := &entry.Host{SettingsPath: path, Clock: clockwork.NewRealClock(), Logger: logger}
+//	err := h.Serve(ctx) // until the context ends and every request has been answered
+package entry
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiapick/sequoiapick/internal/cluster"
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/exchange"
+	"github.com/sequoiapick/sequoiapick/internal/forward"
+	"github.com/sequoiapick/sequoiapick/internal/ingress"
+	"github.com/sequoiapick/sequoiapick/internal/inventory"
+	"github.com/sequoiapick/sequoiapick/internal/scheduler"
+	"github.com/sequoiapick/sequoiapick/pkg/route"
+	"github.com/sequoiapick/sequoiapick/platform"
+)
+
+const (
+	// memoryShare is the share of the host's memory that the heap may take; the rest is for
+	// stacks, buffers of the system and bytes that weren't read yet.
+	memoryShare = 0.6
+	// bodyShare is the share of the host's memory that bodies of requests may take.
+	bodyShare = 0.25
+	// balancerLag is the time after turning unready in which the balancer still sends new
+	// connections: it asks every second and takes a host out after two misses.
+	balancerLag = 2500 * time.Millisecond
+	// stopMargin is the time before the end of the grace at which everything is closed.
+	stopMargin = 400 * time.Millisecond
+	// sweepInterval is the time between two looks at idle connections.
+	sweepInterval = time.Second
+)
+
+// Host is the daemon of one entry host.
+type Host struct {
+	SettingsPath string
+	Clock        clockwork.Clock
+	Logger       logr.Logger
+
+	settings    platform.Settings
+	incarnation string
+	log         event.Log
+	table       atomic.Pointer[route.Table]
+	store       *platform.Store
+	inventory   *inventory.Inventory
+	pool        *exchange.Pool
+	mesh        *cluster.Mesh
+	scheduler   *scheduler.Scheduler
+	forwarder   *forward.Forwarder
+	front       *ingress.Server
+	targets     targetReader
+	operators   operatorReader
+	members     memberReader
+
+	listeners listeners
+	ready     atomic.Bool
+	stopping  atomic.Bool
+	tasks     tasks
+}
+
+// listeners are the open addresses.
+type listeners struct {
+	callers   net.Listener
+	readiness net.Listener
+	peers     net.Listener
+}
+
+// Serve runs until the context ends, then stops without cutting off a request.
+func (h *Host) Serve(ctx context.Context) error {
+	if err := h.run(ctx, startSteps()); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return h.run(context.WithoutCancel(ctx), stopSteps())
+}
+
+// step is one part of the start or the stop.
+type step struct {
+	name string
+	run  func(h *Host, ctx context.Context) error
+}
+
+func startSteps() []step {
+	return []step{
+		{"read settings", readSettings},
+		{"assemble", assemble},
+		{"listen", listen},
+		{"start tasks", startTasks},
+	}
+}
+
+func stopSteps() []step {
+	return []step{
+		{"turn unready", turnUnready},
+		{"close listener", closeListener},
+		{"finish requests", finishRequests},
+		{"leave", leave},
+	}
+}
+
+func (h *Host) run(ctx context.Context, steps []step) error {
+	for _, s := range steps {
+		if err := s.run(h, ctx); err != nil {
+			h.log.Emit(event.StepFailed, "Step", s.name, "Reason", err.Error())
+			return errors.Wrap(err, s.name)
+		}
+	}
+	return nil
+}
+
+func readSettings(h *Host, _ context.Context) error {
+	h.log = event.Log{Logger: h.Logger}
+	s, err := platform.ReadSettings(h.SettingsPath)
+	if err != nil {
+		return err
+	}
+	h.settings = s
+	h.log = event.Log{Logger: h.Logger.WithValues("Host", s.Host)}
+	return nil
+}
+
+func assemble(h *Host, _ context.Context) error {
+	s := h.settings
+	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryBytes) * memoryShare))
+	h.incarnation = strings.ReplaceAll(uuid.NewString(), "-", "")[:12]
+	h.store = &platform.Store{Address: s.Store.Address, LocalAddress: s.IP}
+	h.inventory = &inventory.Inventory{Clock: h.Clock}
+	h.pool = &exchange.Pool{Clock: h.Clock, LocalAddress: s.IP}
+	h.mesh = &cluster.Mesh{
+		Self: cluster.Member{
+			Host:        s.Host,
+			DataCentre:  s.DataCentre,
+			Address:     s.Listen.Peers,
+			Incarnation: h.incarnation,
+			Weight:      s.Limits.Processor,
+		},
+		Clock:         h.Clock,
+		Handler:       h,
+		Log:           h.log,
+		Configuration: h.version,
+	}
+	h.scheduler = &scheduler.Scheduler{Host: s.Host, Mesh: h.mesh, Pool: h.pool, Clock: h.Clock, Log: h.log}
+	h.scheduler.Init()
+	h.forwarder = &forward.Forwarder{
+		Table:      h.table.Load,
+		Inventory:  h.inventory,
+		Scheduler:  h.scheduler,
+		Pool:       h.pool,
+		Clock:      h.Clock,
+		Log:        h.log,
+		DataCentre: s.DataCentre,
+		Budget: &forward.Budget{
+			Clock:   h.Clock,
+			Ratio:   s.Bounds.RetryRatio,
+			Slack:   s.Bounds.RetrySlack,
+			Window:  s.Bounds.RetryWindow,
+			Daemons: h.daemons,
+		},
+	}
+	h.front = &ingress.Server{
+		Handler:      h.forwarder,
+		Limits:       h.limits,
+		Now:          h.Clock.Now,
+		MaxBodyBytes: int64(float64(s.Limits.MemoryBytes) * bodyShare),
+	}
+	h.targets = targetReader{host: h}
+	h.operators = operatorReader{host: h}
+	h.members = memberReader{host: h}
+	return nil
+}
+
+// daemons is the number of daemons that are known to share a bound.
+func (h *Host) daemons() int {
+	_, known := h.mesh.Alive()
+	return known
+}
+
+func (h *Host) version() int64 {
+	if t := h.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+func (h *Host) limits() route.Limits {
+	if t := h.table.Load(); t != nil {
+		return t.Limits
+	}
+	return route.Limits{}
+}
+
+func listen(h *Host, _ context.Context) error {
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&h.listeners.callers, h.settings.Listen.Callers},
+		{&h.listeners.readiness, h.settings.Listen.Readiness},
+		{&h.listeners.peers, h.settings.Listen.Peers},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return err
+		}
+		*l.listener = listener
+	}
+	return nil
+}
+
+func startTasks(h *Host, _ context.Context) error {
+	t := &h.tasks
+	t.start("scheduler", h.scheduler.Run)
+	t.start("peers", func(ctx context.Context) error { return h.mesh.Serve(ctx, h.listeners.peers) })
+	t.start("operators", h.operators.run)
+	t.start("targets", h.targets.run)
+	t.start("members", h.members.run)
+	t.start("world", h.updateWorld)
+	t.start("sweep", h.sweep)
+	t.start("reload", h.watchSettings)
+	t.start("readiness", h.serveReadiness)
+	t.start("callers", func(ctx context.Context) error { return h.front.Serve(ctx, h.listeners.callers) })
+	h.log.Emit(event.DaemonStarted, "Incarnation", h.incarnation, "DataCentre", h.settings.DataCentre)
+	return nil
+}
+
+// serveReadiness answers the balancer.
+func (h *Host) serveReadiness(ctx context.Context) error {
+	server := &fasthttp.Server{
+		NoDefaultServerHeader: true,
+		Handler: func(c *fasthttp.RequestCtx) {
+			if string(c.Path()) != platform.ReadinessPath {
+				c.SetStatusCode(fasthttp.StatusNotFound)
+				return
+			}
+			if !h.isReady() {
+				c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			}
+		},
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Shutdown() })
+	defer stop()
+	return server.Serve(h.listeners.readiness)
+}
+
+// isReady reports whether the balancer may send clients: a configuration and targets are
+// known, and no stop has begun.
+func (h *Host) isReady() bool {
+	return !h.stopping.Load() && h.table.Load() != nil && h.targets.loaded.Load()
+}
+
+// sweep closes idle connections.
+func (h *Host) sweep(ctx context.Context) error {
+	ticker := h.Clock.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			h.pool.Sweep()
+		}
+	}
+}
+
+// settingsInterval is the time between two looks at the settings file, which may change
+// without a signal.
+const settingsInterval = 2 * time.Second
+
+// watchSettings reads the settings again when the file changes or SIGHUP arrives.
+func (h *Host) watchSettings(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := h.Clock.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	last := modified(h.SettingsPath)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+		case <-ticker.Chan():
+			if now := modified(h.SettingsPath); now.Equal(last) {
+				continue
+			}
+		}
+		last = modified(h.SettingsPath)
+		s, err := platform.ReadSettings(h.SettingsPath)
+		if err != nil {
+			h.log.Emit(event.SettingsRefused, "Reason", err.Error())
+			continue
+		}
+		h.members.setSeeds(s.Seeds)
+		h.log.Emit(event.SettingsRead, "Seeds", s.Seeds)
+	}
+}
+
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{} // the next look shows it again
+	}
+	return info.ModTime()
+}
+
+func turnUnready(h *Host, _ context.Context) error {
+	h.stopping.Store(true)
+	h.log.Emit(event.DaemonStopping, "Connections", h.front.Open())
+	h.front.Drain()
+	h.mesh.Stop()
+	h.members.leave()
+	h.Clock.Sleep(min(balancerLag, h.settings.Bounds.Grace/3))
+	return nil
+}
+
+func closeListener(h *Host, _ context.Context) error {
+	h.tasks.stop("callers")
+	h.front.CloseIdle()
+	return nil
+}
+
+// finishRequests waits for the requests in flight and for those of other daemons, as
+// long as the grace allows.
+func finishRequests(h *Host, _ context.Context) error {
+	deadline := h.Clock.After(h.settings.Bounds.Grace - min(balancerLag, h.settings.Bounds.Grace/3) - stopMargin)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.front.Wait()
+		h.scheduler.WaitIdle()
+	}()
+	select {
+	case <-done:
+	case <-deadline:
+	}
+	return nil
+}
+
+func leave(h *Host, _ context.Context) error {
+	h.front.CloseAll()
+	h.tasks.stopAll()
+	h.log.Emit(event.DaemonStopped, "Incarnation", h.incarnation)
+	return nil
+}
+
+// tasks are the goroutines of a host; each reports its end on its channel.
+type tasks struct {
+	mu      sync.Mutex
+	running map[string]task
+}
+
+type task struct {
+	cancel context.CancelFunc
+	ended  chan error
+}
+
+func (t *tasks) start(name string, run func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- run(ctx) }()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running == nil {
+		t.running = map[string]task{}
+	}
+	t.running[name] = task{cancel: cancel, ended: ended}
+}
+
+// stopTimeout bounds the wait for a task, so that a stop ends inside its grace.
+const stopTimeout = 300 * time.Millisecond
+
+func (t *tasks) stop(name string) {
+	t.mu.Lock()
+	running, ok := t.running[name]
+	delete(t.running, name)
+	t.mu.Unlock()
+	if !ok {
+		return
+	}
+	running.cancel()
+	select {
+	case <-running.ended:
+	case <-time.After(stopTimeout):
+	}
+}
+
+func (t *tasks) stopAll() {
+	t.mu.Lock()
+	running := t.running
+	t.running = nil
+	t.mu.Unlock()
+	for _, r := range running {
+		r.cancel()
+	}
+}
--- /dev/null
+++ b/internal/entry/world.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/cluster"
+	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
+	"github.com/sequoiapick/sequoiapick/internal/dispatch"
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/placement"
+	"github.com/sequoiapick/sequoiapick/pkg/service"
+)
+
+// worldInterval is the time between two looks at whether targets have changed.
+const worldInterval = 50 * time.Millisecond
+
+// updateWorld tells the scheduler which services and targets there are.
+func (h *Host) updateWorld(ctx context.Context) error {
+	ticker := h.Clock.NewTicker(worldInterval)
+	defer ticker.Stop()
+	var inventoryVersion uint64
+	var tableVersion int64
+	told := h.Clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+		}
+		table := h.table.Load()
+		if table == nil {
+			continue
+		}
+		v := h.inventory.Version()
+		// Targets turn warm and suspicion ends with time alone.
+		if v == inventoryVersion && table.Version == tableVersion && h.Clock.Since(told) < time.Second {
+			continue
+		}
+		inventoryVersion, tableVersion, told = v, table.Version, h.Clock.Now()
+		h.tellScheduler(table.Services)
+	}
+}
+
+func (h *Host) tellScheduler(services map[string]service.Service) {
+	var targets []dispatch.Target
+	var engines []placement.Engine
+	for _, t := range h.inventory.Targets("") {
+		s, ok := services[t.Service]
+		switch {
+		case !ok:
+		case s.Batch != nil:
+			targets = append(targets, dispatch.Target{
+				ID:         t.ID,
+				Service:    t.Service,
+				Address:    t.Address,
+				DataCentre: t.DataCentre,
+				Born:       t.Born,
+				Closed:     !t.Usable(),
+			})
+		default:
+			engines = append(engines, placement.Engine{
+				ID:         t.ID,
+				Service:    t.Service,
+				Address:    t.Address,
+				DataCentre: t.DataCentre,
+				Born:       t.Born,
+				Closed:     !t.Usable(),
+				Cold:       t.Cold,
+				Suspect:    t.Suspect,
+			})
+		}
+	}
+	h.scheduler.SetWorld(services, targets, engines)
+}
+
+// Receive implements cluster.Handler.
+func (h *Host) Receive(from string, e *clusterpb.Envelope) {
+	h.scheduler.Receive(from, e)
+}
+
+// LeaderChanged implements cluster.Handler.
+func (h *Host) LeaderChanged(leader string) {
+	h.log.Emit(event.LeaderChanged, "Leader", leader)
+}
+
+// Learned implements cluster.Handler.
+func (h *Host) Learned(members []cluster.Member) {}
+
+// Linked implements cluster.Handler.
+func (h *Host) Linked(host string) {}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -25,10 +25,15 @@
 	DaemonStopped       = Event{102, "DaemonStopped", "the planned stop has ended"}
 	StepFailed          = Event{103, "StepFailed", "a step of the start or stop failed"}
 	LoopFailed          = Event{104, "LoopFailed", "a periodic task failed and will be tried again"}
+	SettingsRead        = Event{105, "SettingsRead", "the settings file was read again"}
+	SettingsRefused     = Event{106, "SettingsRefused", "a changed settings file isn't valid, the old settings stay in force"}
 	RequestAdmitted     = Event{200, "RequestAdmitted", "a request was admitted under a configuration version"}
 	RequestRefused      = Event{201, "RequestRefused", "a request was refused before it ran"}
 	RequestAnswered     = Event{202, "RequestAnswered", "the whole answer was produced"}
 	RequestFailed       = Event{203, "RequestFailed", "a request failed after it was admitted"}
+	EntryRefused        = Event{204, "EntryRefused", "a client's request was refused or failed"}
+	EntryAbandoned      = Event{205, "EntryAbandoned", "a client left before its answer"}
+	StreamBroken        = Event{206, "StreamBroken", "a stream was broken off before its end"}
 	StageRouted         = Event{300, "StageRouted", "a target was chosen for an attempt"}
 	StageHeld           = Event{301, "StageHeld", "a stage waits for capacity"}
 	StageRefused        = Event{302, "StageRefused", "no target can take a stage"}
@@ -36,12 +41,16 @@
 	AttemptForwarded    = Event{304, "AttemptForwarded", "an attempt was handed to the guardian of a cold target"}
 	AttemptHedged       = Event{305, "AttemptHedged", "a second attempt was started beside a slow one"}
 	LateAnswerDropped   = Event{306, "LateAnswerDropped", "the answer of an attempt that had lost was dropped"}
+	StageCallFailed     = Event{307, "StageCallFailed", "a call to a stage target failed, its pieces go to another"}
 	TargetCold          = Event{400, "TargetCold", "a target turned cold"}
 	TargetLeaving       = Event{401, "TargetLeaving", "a target is leaving"}
+	TargetMalformed     = Event{402, "TargetMalformed", "an entry of the platform's store can't be read and names nothing to use"}
 	MembershipAdopted   = Event{500, "MembershipAdopted", "the daemon acts on a membership epoch"}
 	MembershipFrozen    = Event{501, "MembershipFrozen", "membership can't change because the platform's table is out of reach"}
 	MemberSwept         = Event{502, "MemberSwept", "a member whose host is no longer listed was removed"}
 	PauseDetected       = Event{503, "PauseDetected", "the process was paused"}
+	LinkLost            = Event{504, "LinkLost", "the link to another daemon was lost and will be opened again"}
+	LeaderChanged       = Event{505, "LeaderChanged", "another daemon leads the dispatch of stages"}
 	ConfigurationRaised = Event{600, "ConfigurationRaised", "a newer configuration is in force"}
 	ConfigurationStale  = Event{601, "ConfigurationStale", "an older configuration was refused"}
 	DataCentreOut       = Event{602, "DataCentreOut", "an order takes a data centre out"}
@@ -61,11 +70,12 @@
 // Catalogue lists every event by number.
 func Catalogue() []Event {
 	return []Event{
-		DaemonStarted, DaemonStopping, DaemonStopped, StepFailed, LoopFailed,
+		DaemonStarted, DaemonStopping, DaemonStopped, StepFailed, LoopFailed, SettingsRead, SettingsRefused,
 		RequestAdmitted, RequestRefused, RequestAnswered, RequestFailed,
-		StageRouted, StageHeld, StageRefused, AttemptFailed, AttemptForwarded, AttemptHedged, LateAnswerDropped,
-		TargetCold, TargetLeaving,
-		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected,
+		EntryRefused, EntryAbandoned, StreamBroken,
+		StageRouted, StageHeld, StageRefused, AttemptFailed, AttemptForwarded, AttemptHedged, LateAnswerDropped, StageCallFailed,
+		TargetCold, TargetLeaving, TargetMalformed,
+		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected, LinkLost, LeaderChanged,
 		ConfigurationRaised, ConfigurationStale, DataCentreOut, DataCentreIn,
 		KeyClaimed, KeyForwarded, KeyUnverified, KeysHandedOver, KeysInherited,
 		DraftAccepted, DraftTakenOver, DraftFinished,
--- /dev/null
+++ b/internal/forward/plain.go
@@ -0,0 +1,148 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/exchange"
+	"github.com/sequoiapick/sequoiapick/internal/inventory"
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+	"github.com/sequoiapick/sequoiapick/platform"
+)
+
+const (
+	// bufferedBytes is the size up to which an answer is read whole before the client gets
+	// any of it, so that a broken one can be replaced.
+	bufferedBytes = 256 << 10
+	// busyRetryAfter is when a request that found all targets full may come again.
+	busyRetryAfter = 200 * time.Millisecond
+	// noUrgency leaves the urgency out.
+	noUrgency = -1
+)
+
+// plain answers a request that one target answers at once.
+func (q *run) plain(ctx context.Context) {
+	var last error = problem.New(problem.Unavailable, "no usable target")
+	for ctx.Err() == nil {
+		target, ok := q.f.load.choose(q.f.Clock.Now(), q.f.Inventory.Targets(q.service), q.f.DataCentre, q.tried)
+		if !ok || !q.maySend() {
+			break
+		}
+		q.tried[target.ID] = true
+		done, err := q.plainOnce(ctx, target)
+		if done {
+			return
+		}
+		last = err
+	}
+	if ctx.Err() != nil {
+		last = problem.New(problem.Late, "%v", context.Cause(ctx))
+	}
+	q.giveUp(ctx, last, busyRetryAfter)
+}
+
+// plainOnce sends the request to one target and reports whether the client was answered.
+func (q *run) plainOnce(ctx context.Context, target inventory.Target) (done bool, err error) {
+	f := q.f
+	f.load.begin(target.ID)
+	var load *platform.Load
+	defer func() { f.load.end(target.ID, f.Clock.Now(), load) }()
+	answer, conn, err := q.send(ctx, target, nil, noUrgency, "")
+	if err != nil {
+		return false, err
+	}
+	load = answer.Head.Load
+	if answer.Head.NotExecuted {
+		f.Pool.Release(conn)
+		f.Log.Emit(event.AttemptFailed, "Request", q.call.AttemptID, "Target", target.ID, "Status", answer.Head.Status, "NotRun", true)
+		return false, problem.New(problem.Overloaded, "target %s didn't run the request", target.ID)
+	}
+	q.ran = true
+	if answer.Head.Status >= 500 && !answer.Head.Signed {
+		f.Pool.Discard(conn)
+		f.Inventory.Failed(target.ID)
+		return false, problem.New(problem.TargetFailed, "target %s answered with status %d", target.ID, answer.Head.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferedBytes))
+	if err == nil && len(body) == bufferedBytes {
+		return true, q.passOn(ctx, answer, body, conn)
+	}
+	if err != nil {
+		f.Pool.Discard(conn)
+		f.Inventory.Failed(target.ID)
+		f.Log.Emit(event.AttemptFailed, "Request", q.call.AttemptID, "Target", target.ID, "Reason", err.Error())
+		return false, problem.New(problem.TargetFailed, "answer of target %s: %v", target.ID, err)
+	}
+	f.Pool.Release(conn)
+	if q.retryError(answer) {
+		return false, problem.New(problem.TargetFailed, "target %s answered with status %d", target.ID, answer.Head.Status)
+	}
+	f.Inventory.Succeeded(target.ID)
+	_ = q.w.Answer(answer.Head.Status, platform.AppendAnswerFields(nil, &answer.Header), body)
+	return true, nil
+}
+
+// retryError reports whether an error that a target answered with is worth another try.
+func (q *run) retryError(answer *exchange.Answer) bool {
+	return answer.Head.Status >= 500 && q.route.Idempotent() && q.sends < q.route.MaxAttempts && q.f.Budget.Allows(q.service)
+}
+
+// passOn passes a large answer on as it arrives.
+func (q *run) passOn(ctx context.Context, answer *exchange.Answer, begin []byte, conn *exchange.Conn) error {
+	length := int64(answer.Length)
+	if answer.Length < 0 {
+		length = -1
+	}
+	if err := q.w.Start(answer.Head.Status, platform.AppendAnswerFields(nil, &answer.Header), length); err != nil {
+		q.f.Pool.Discard(conn)
+		return err
+	}
+	_, err := q.w.Write(begin)
+	if err == nil {
+		_, err = io.Copy(q.w, answer.Body)
+	}
+	if err != nil || ctx.Err() != nil {
+		q.w.Break()
+		q.f.Pool.Discard(conn)
+		return err
+	}
+	q.f.Pool.Release(conn)
+	return q.w.End()
+}
+
+// send sends the request to a target and returns the head of the answer. The caller must
+// release or discard the connection if there is no error.
+func (q *run) send(ctx context.Context, target inventory.Target, inputs []string, urgency int, lastEvent string) (*exchange.Answer, *exchange.Conn, error) {
+	f := q.f
+	reuse := q.reuse()
+	for {
+		conn, err := f.Pool.Open(ctx, target.Address, reuse)
+		if err != nil {
+			f.Inventory.Failed(target.ID)
+			f.Log.Emit(event.AttemptFailed, "Request", q.call.AttemptID, "Target", target.ID, "NotSent", true, "Reason", err.Error())
+			return nil, nil, err
+		}
+		answer, err := conn.Do(ctx, q.forwardTo(target.ID, inputs, urgency, lastEvent))
+		if err == nil {
+			q.sends++
+			return answer, conn, nil
+		}
+		f.Pool.Discard(conn)
+		if exchange.NotSent(err) {
+			return nil, nil, err
+		}
+		if reuse == exchange.Pooled && exchange.Stale(err) && ctx.Err() == nil && q.route.Idempotent() {
+			reuse = exchange.Fresh // the target may just have closed the idle connection
+			continue
+		}
+		q.sends++
+		q.ran = true
+		if ctx.Err() == nil {
+			f.Inventory.Failed(target.ID)
+		}
+		f.Log.Emit(event.AttemptFailed, "Request", q.call.AttemptID, "Target", target.ID, "Reason", err.Error())
+		return nil, nil, err
+	}
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,317 @@
+// Package placement chooses the engine for a generation. It does no I/O.
+//
+// The load that it answers: many generations share long parts of their prompts, an engine
+// that has read a part needn't read it again, engines forget the parts used least lately,
+// and the inputs of a generation are cheap to fetch only inside their data centre. Spread
+// evenly, every engine reads every part; sent always to the engine that knows the part, a
+// popular part overloads its engine. The choice weighs the time to the first token, the
+// reading that others have done already, and the bytes between data centres against each
+// other.
+//
+// # Usage
+//
+//	b := placement.New()
+//	b.SetEngines(engines)
+//	e, ok := b.Choose(now, request)
+//	b.Ended(request.ID)
+package placement
+
+import (
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/pkg/service"
+)
+
+// Engine is an engine as the board sees it.
+type Engine struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Born       int64
+	// Closed says that no new request may go to the engine.
+	Closed bool
+	// Cold says that the engine has started lately and bears little.
+	Cold bool
+	// Suspect says that the engine failed lately.
+	Suspect bool
+}
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is a generation that needs an engine.
+type Request struct {
+	ID           string
+	Service      string
+	Model        string
+	PromptTokens int
+	OutputTokens int
+	Parts        []Part
+	// BytesIn is the size of the inputs by data centre.
+	BytesIn map[string]int64
+	// DataCentre is where the daemon is that holds the client.
+	DataCentre string
+	// Exclude are the engines that the request was sent to before.
+	Exclude map[string]bool
+}
+
+const (
+	// readTokensPerMillisecond is the speed at which engines read prompts, a typical one; it
+	// only weighs reading against the other costs.
+	readTokensPerMillisecond = 60.0
+	// runningMillis is the delay that each running request adds to another's first token.
+	runningMillis = 4.0
+	// againMillisPerToken weighs reading what another engine has read already.
+	againMillisPerToken = 0.04
+	// crossingMillisPerByte weighs the bytes of inputs from other data centres.
+	crossingMillisPerByte = 40.0 / 1e6
+	// awayMillis weighs an engine in another data centre than the client's daemon.
+	awayMillis = 2.0
+	// suspectMillis and coldMillis keep requests away from such engines while others live.
+	suspectMillis = 3000.0
+	coldMillis    = 1500.0
+	// fullMillis is added for each request beyond the slots of an engine.
+	fullMillis = 400.0
+)
+
+// Board is what is known of all engines; New makes one.
+type Board struct {
+	engines  map[string]*engine
+	running  map[string]*engine
+	requests map[string]Request
+	services map[string]service.Engine
+	// seen holds the parts that any engine has read, with the time of their last use.
+	seen map[string]time.Time
+	// Reuse is the time for which a part counts as read after its last use.
+	Reuse time.Duration
+}
+
+type engine struct {
+	Engine
+	running map[string]bool
+	// reading is the number of prompt tokens of requests that haven't begun to answer.
+	reading map[string]int
+	cache   cache
+}
+
+// New returns an empty board.
+func New() *Board {
+	return &Board{
+		engines:  map[string]*engine{},
+		running:  map[string]*engine{},
+		requests: map[string]Request{},
+		services: map[string]service.Engine{},
+		seen:     map[string]time.Time{},
+		Reuse:    10 * time.Second,
+	}
+}
+
+// SetServices sets what the engines of each service can take.
+func (b *Board) SetServices(services map[string]service.Service) {
+	for name, s := range services {
+		if s.Engine != nil {
+			b.services[name] = *s.Engine
+		}
+	}
+}
+
+// SetEngines sets the engines; those that are missing are gone.
+func (b *Board) SetEngines(engines []Engine) {
+	present := map[string]bool{}
+	for _, e := range engines {
+		present[e.ID] = true
+		state := b.engines[e.ID]
+		if state == nil || state.Born != e.Born {
+			state = &engine{running: map[string]bool{}, reading: map[string]int{}}
+			b.engines[e.ID] = state
+		}
+		state.Engine = e
+		state.cache.limit = b.services[e.Service].CacheTokens
+	}
+	for id := range b.engines {
+		if !present[id] {
+			delete(b.engines, id)
+		}
+	}
+}
+
+// Choose returns the engine for the request and counts it as sent there.
+func (b *Board) Choose(now time.Time, r Request) (Engine, bool) {
+	b.forget(r.ID)
+	best := b.best(now, r)
+	if best == nil {
+		return Engine{}, false
+	}
+	best.running[r.ID] = true
+	best.reading[r.ID] = r.PromptTokens - best.cache.known(r.Model, r.Parts)
+	best.cache.add(r.Model, r.Parts)
+	b.running[r.ID] = best
+	b.requests[r.ID] = r
+	for _, part := range r.Parts {
+		b.seen[partKey(r.Model, part.ID)] = now
+	}
+	b.trimSeen(now)
+	return best.Engine, true
+}
+
+// Prefer returns the data centre of the engine that the request would go to now.
+func (b *Board) Prefer(now time.Time, r Request) (string, bool) {
+	best := b.best(now, r)
+	if best == nil {
+		return "", false
+	}
+	return best.DataCentre, true
+}
+
+func (b *Board) best(now time.Time, r Request) *engine {
+	var best *engine
+	var lowest float64
+	for _, e := range b.engines {
+		if e.Service != r.Service || e.Closed || r.Exclude[e.ID] {
+			continue
+		}
+		cost := b.cost(now, e, r)
+		if best == nil || cost < lowest || cost == lowest && e.ID < best.ID {
+			best, lowest = e, cost
+		}
+	}
+	return best
+}
+
+// cost is the weight against an engine in milliseconds of the time to the first token.
+func (b *Board) cost(now time.Time, e *engine, r Request) float64 {
+	known := e.cache.known(r.Model, r.Parts)
+	unread := r.PromptTokens - known
+	pending := unread
+	for _, tokens := range e.reading {
+		pending += tokens
+	}
+	cost := float64(pending)/readTokensPerMillisecond + float64(len(e.running))*runningMillis
+	cost += float64(b.readElsewhere(now, r)-known) * againMillisPerToken
+	for dataCentre, bytes := range r.BytesIn {
+		if dataCentre != e.DataCentre {
+			cost += float64(bytes) * crossingMillisPerByte
+		}
+	}
+	if r.DataCentre != e.DataCentre {
+		cost += awayMillis
+	}
+	if e.Suspect {
+		cost += suspectMillis
+	}
+	if e.Cold {
+		cost += coldMillis
+	}
+	if over := len(e.running) + 1 - b.services[e.Service].Slots; over > 0 {
+		cost += float64(over) * fullMillis
+	}
+	return cost
+}
+
+// readElsewhere is the number of tokens at the start of the prompt that some engine has
+// read lately.
+func (b *Board) readElsewhere(now time.Time, r Request) int {
+	tokens := 0
+	for _, part := range r.Parts {
+		last, ok := b.seen[partKey(r.Model, part.ID)]
+		if !ok || now.Sub(last) > b.Reuse {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+// maxSeen bounds the parts that are remembered.
+const maxSeen = 20000
+
+func (b *Board) trimSeen(now time.Time) {
+	if len(b.seen) < maxSeen {
+		return
+	}
+	for key, last := range b.seen {
+		if now.Sub(last) > b.Reuse {
+			delete(b.seen, key)
+		}
+	}
+}
+
+// Began says that the engine has read the prompt of the request.
+func (b *Board) Began(id string) {
+	if e := b.running[id]; e != nil {
+		delete(e.reading, id)
+	}
+}
+
+// Ended says that the request is over.
+func (b *Board) Ended(id string) {
+	b.forget(id)
+}
+
+func (b *Board) forget(id string) {
+	e := b.running[id]
+	if e == nil {
+		return
+	}
+	delete(e.running, id)
+	delete(e.reading, id)
+	delete(b.running, id)
+	delete(b.requests, id)
+}
+
+func partKey(model, id string) string { return model + "/" + id }
+
+// cache is a model of the parts that an engine keeps, the least recently used go first.
+type cache struct {
+	limit  int
+	tokens int
+	// order holds the keys from the least to the most recently used.
+	order []string
+	parts map[string]int
+}
+
+// known is the number of tokens at the start of the prompt that the engine keeps.
+func (c *cache) known(model string, parts []Part) int {
+	tokens := 0
+	for _, part := range parts {
+		if _, ok := c.parts[partKey(model, part.ID)]; !ok {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+func (c *cache) add(model string, parts []Part) {
+	if c.parts == nil {
+		c.parts = map[string]int{}
+	}
+	for _, part := range parts {
+		c.use(partKey(model, part.ID), part.Tokens)
+	}
+	for c.limit > 0 && c.tokens > c.limit && len(c.order) > 0 {
+		oldest := c.order[0]
+		c.order = c.order[1:]
+		c.tokens -= c.parts[oldest]
+		delete(c.parts, oldest)
+	}
+}
+
+func (c *cache) use(key string, tokens int) {
+	if old, ok := c.parts[key]; ok {
+		c.tokens -= old
+		for i, k := range c.order {
+			if k == key {
+				c.order = append(c.order[:i], c.order[i+1:]...)
+				break
+			}
+		}
+	}
+	c.parts[key] = tokens
+	c.tokens += tokens
+	c.order = append(c.order, key)
+}
--- /dev/null
+++ b/internal/scheduler/call.go
@@ -0,0 +1,166 @@
+package scheduler
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiapick/sequoiapick/internal/dispatch"
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/exchange"
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+	"github.com/sequoiapick/sequoiapick/platform"
+)
+
+const (
+	// callRatio and callSlack bound a call to a stage target by its expected duration; by
+	// then its pieces have long been given to another target.
+	callRatio = 3
+	callSlack = 1500 * time.Millisecond
+	// maxCallBytes bounds the answer to a call.
+	maxCallBytes = 1 << 20
+	// freeTimeout bounds a call that gives results up; they vanish by themselves later.
+	freeTimeout = time.Second
+)
+
+// freeing gathers the results that are given up at a target.
+type freeing struct {
+	target  dispatch.Target
+	handles []string
+	since   time.Time
+}
+
+// startCall sends a call to a stage target; its outcome comes back to the loop.
+func (s *Scheduler) startCall(a dispatch.StartCall) {
+	if f := s.freeing[a.Target.ID]; f != nil {
+		s.sendFree(f)
+	}
+	pieces := make([]platform.Piece, 0, len(a.Pieces))
+	for _, p := range a.Pieces {
+		pieces = append(pieces, platform.Piece{AttemptID: p.Job, Stage: p.Stage, Index: p.Index, Left: p.Left, Key: p.Key, Inputs: p.Inputs})
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, callRatio*a.Expected+callSlack)
+	go func() {
+		defer cancel()
+		results, failure, err := s.runCall(ctx, a.Target, pieces)
+		s.post(func() { s.callEnded(a, results, failure, err) })
+	}()
+}
+
+func (s *Scheduler) callEnded(a dispatch.StartCall, results []dispatch.Result, failure dispatch.CallFailure, err error) {
+	now := s.Clock.Now()
+	if failure == "" {
+		s.perform(s.planner.CallEnded(now, a.Call, results))
+		return
+	}
+	s.Log.Emit(event.StageCallFailed, "Target", a.Target.ID, "Pieces", len(a.Pieces), "Failure", string(failure), "Reason", reason(err))
+	s.perform(s.planner.CallFailed(now, a.Call, failure))
+}
+
+func reason(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// runCall runs one call and returns its results, or why there are none.
+func (s *Scheduler) runCall(ctx context.Context, target dispatch.Target, pieces []platform.Piece) ([]dispatch.Result, dispatch.CallFailure, error) {
+	head, body, err := platform.AppendStageRun(nil, target.ID, target.Address, pieces)
+	if err != nil {
+		return nil, dispatch.Lost, err
+	}
+	status, answer, err := s.call(ctx, target.Address, head, body)
+	if err != nil {
+		return nil, dispatch.Lost, err
+	}
+	switch status {
+	case fasthttp.StatusOK:
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		return nil, dispatch.Full, nil
+	default:
+		return nil, dispatch.Lost, problem.New(problem.TargetFailed, "status %d", status)
+	}
+	decoded, err := platform.DecodeStageRun(answer, len(pieces))
+	if err != nil {
+		return nil, dispatch.Lost, err
+	}
+	results := make([]dispatch.Result, 0, len(decoded))
+	for _, d := range decoded {
+		results = append(results, dispatch.Result{Handle: d.Handle, Failure: failures[d.Failure]})
+	}
+	return results, "", nil
+}
+
+// failures maps the failures of a piece to those of the planner.
+var failures = map[platform.PieceFailure]dispatch.Failure{
+	platform.PieceLate:      dispatch.Late,
+	platform.PieceInputGone: dispatch.InputGone,
+	platform.PieceNoRoom:    dispatch.NoRoom,
+	platform.PieceError:     dispatch.Broken,
+}
+
+// call sends one call and reads its whole answer. A call that failed on a connection
+// that had been idle is sent once more, since stage targets may run a piece again.
+func (s *Scheduler) call(ctx context.Context, address string, head, body []byte) (int, []byte, error) {
+	status, answer, err := s.exchange(ctx, address, head, body, exchange.Pooled)
+	if err != nil && exchange.Stale(err) && ctx.Err() == nil {
+		return s.exchange(ctx, address, head, body, exchange.Fresh)
+	}
+	return status, answer, err
+}
+
+func (s *Scheduler) exchange(ctx context.Context, address string, head, body []byte, reuse exchange.Reuse) (int, []byte, error) {
+	conn, err := s.Pool.Open(ctx, address, reuse)
+	if err != nil {
+		return 0, nil, err
+	}
+	answer, err := conn.Do(ctx, exchange.Request{Head: head, Body: body})
+	if err != nil {
+		s.Pool.Discard(conn)
+		return 0, nil, err
+	}
+	read, err := io.ReadAll(io.LimitReader(answer.Body, maxCallBytes))
+	if err != nil {
+		s.Pool.Discard(conn)
+		return 0, nil, problem.New(problem.Unavailable, "answer of %s: %v", address, err)
+	}
+	s.Pool.Release(conn)
+	return answer.Head.Status, read, nil
+}
+
+// free gives results up, gathered for a moment.
+func (s *Scheduler) free(a dispatch.FreeResults) {
+	f := s.freeing[a.Target.ID]
+	if f == nil {
+		f = &freeing{target: a.Target, since: s.Clock.Now()}
+		s.freeing[a.Target.ID] = f
+	}
+	f.handles = append(f.handles, a.Handles...)
+}
+
+func (s *Scheduler) flushFrees(now time.Time) {
+	for _, f := range s.freeing {
+		if now.Sub(f.since) >= freeDelay {
+			s.sendFree(f)
+		}
+	}
+}
+
+func (s *Scheduler) sendFree(f *freeing) {
+	delete(s.freeing, f.target.ID)
+	head, body, err := platform.AppendStageFree(nil, f.target.ID, f.target.Address, f.handles)
+	if err != nil {
+		s.Log.Emit(event.StageCallFailed, "Target", f.target.ID, "Reason", err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, freeTimeout)
+	go func() {
+		defer cancel()
+		if _, _, err := s.call(ctx, f.target.Address, head, body); err != nil {
+			s.Log.Emit(event.StageCallFailed, "Target", f.target.ID, "Results", len(f.handles), "Reason", err.Error())
+		}
+	}()
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,289 @@
+// Package scheduler runs the stages of requests and assigns their engines. Each daemon
+// has one; the one of the daemon that leads works for all, so that calls to stage targets
+// are full and engines are chosen knowing everything that runs. A daemon that hears of no
+// leader works for itself.
+//
+// All state belongs to one loop; calls to targets run beside it and report back to it.
+//
+// # Usage
+//
+//	s := &scheduler.Scheduler{Host: host, Mesh: mesh, Pool: pool, Clock: clock}
+//	go s.Run(ctx)
+//	ticket := s.Submit(job)
+//	update := <-ticket.Updates // Assigned or Refused
+//	ticket.Began()
+//	ticket.Ended()
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
+	"github.com/sequoiapick/sequoiapick/internal/dispatch"
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/exchange"
+	"github.com/sequoiapick/sequoiapick/internal/placement"
+	"github.com/sequoiapick/sequoiapick/pkg/service"
+)
+
+const (
+	// tickInterval is the time between two looks at time-outs while there is work.
+	tickInterval = 20 * time.Millisecond
+	// checkInterval is the time between two looks at the requests that wait for a leader.
+	checkInterval = 50 * time.Millisecond
+	// ownWorkAfter is the time without a leader after which a daemon works for itself.
+	ownWorkAfter = 600 * time.Millisecond
+	// keepAfterDeadline is how long a request is remembered past its deadline.
+	keepAfterDeadline = 2 * time.Second
+	// freeDelay gathers the results that are given up at a target into one call.
+	freeDelay = 30 * time.Millisecond
+	// queueLength bounds the events that wait for the loop.
+	queueLength = 16384
+)
+
+// Mesh is what the scheduler needs of the links to other daemons.
+type Mesh interface {
+	Send(host string, e *clusterpb.Envelope) bool
+	Leader() string
+	IsAlive(host string) bool
+}
+
+// Job is a request whose stages must run and which needs an engine.
+type Job struct {
+	ID         string
+	DataCentre string
+	Key        string
+	Stages     []dispatch.Stage
+	Aim        time.Time
+	Deadline   time.Time
+	Priority   int
+	Worth      float64
+	Generation placement.Request
+}
+
+// Update is the answer to a submission: Assigned or Refused.
+type Update interface{ isUpdate() }
+
+// Assigned names the engine that the request must be sent to, with its inputs.
+type Assigned struct {
+	Target  string
+	Address string
+	Inputs  []string
+}
+
+// Refused says that the request can't be done.
+type Refused struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+func (Assigned) isUpdate() {}
+func (Refused) isUpdate()  {}
+
+// Scheduler is the scheduler of one daemon.
+type Scheduler struct {
+	Host  string
+	Mesh  Mesh
+	Pool  *exchange.Pool
+	Clock clockwork.Clock
+	Log   event.Log
+
+	events  chan func()
+	planner *dispatch.Planner
+	board   *placement.Board
+	owned   map[string]*owned
+	tickets map[string]*Ticket
+	freeing map[string]*freeing
+	ctx     context.Context
+}
+
+// owned is a request that this scheduler works on.
+type owned struct {
+	origin     string
+	generation placement.Request
+	inputs     []string
+	expires    time.Time
+}
+
+// Init prepares the scheduler; it must be called before any other method.
+func (s *Scheduler) Init() {
+	s.events = make(chan func(), queueLength)
+	s.planner = dispatch.New()
+	s.board = placement.New()
+	s.owned = map[string]*owned{}
+	s.tickets = map[string]*Ticket{}
+	s.freeing = map[string]*freeing{}
+}
+
+// Run works until the context ends.
+func (s *Scheduler) Run(ctx context.Context) error {
+	s.ctx = ctx
+	tick := s.Clock.NewTicker(tickInterval)
+	defer tick.Stop()
+	check := s.Clock.NewTicker(checkInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-s.events:
+			f()
+		case <-tick.Chan():
+			if s.planner.Busy() {
+				s.perform(s.planner.Tick(s.Clock.Now()))
+			}
+			s.flushFrees(s.Clock.Now())
+		case <-check.Chan():
+			s.checkTickets()
+			s.expire()
+		}
+	}
+}
+
+// post hands work to the loop.
+func (s *Scheduler) post(f func()) {
+	s.events <- f
+}
+
+// SetWorld tells which services and targets there are.
+func (s *Scheduler) SetWorld(services map[string]service.Service, targets []dispatch.Target, engines []placement.Engine) {
+	s.post(func() {
+		s.planner.SetServices(services)
+		s.board.SetServices(services)
+		s.board.SetEngines(engines)
+		s.perform(s.planner.SetTargets(s.Clock.Now(), targets))
+	})
+}
+
+// idlePoll is the time between two looks at whether any work is left.
+const idlePoll = 50 * time.Millisecond
+
+// WaitIdle returns when this scheduler works on no request any more.
+func (s *Scheduler) WaitIdle() {
+	for {
+		left := make(chan int, 1)
+		s.post(func() { left <- len(s.owned) })
+		if <-left == 0 {
+			return
+		}
+		s.Clock.Sleep(idlePoll)
+	}
+}
+
+// submit takes a request from this daemon or another one.
+func (s *Scheduler) submit(origin string, job Job) {
+	now := s.Clock.Now()
+	if s.owned[job.ID] != nil {
+		return
+	}
+	o := &owned{origin: origin, generation: job.Generation, expires: job.Deadline.Add(keepAfterDeadline)}
+	s.owned[job.ID] = o
+	pieces := 0
+	for _, stage := range job.Stages {
+		pieces += stage.Pieces
+	}
+	if pieces == 0 {
+		s.assign(job.ID, o)
+		return
+	}
+	dataCentre := job.DataCentre
+	if near, ok := s.board.Prefer(now, job.Generation); ok {
+		dataCentre = near
+	}
+	s.perform(s.planner.Submit(now, dispatch.Job{
+		ID:         job.ID,
+		DataCentre: dataCentre,
+		Key:        job.Key,
+		Stages:     job.Stages,
+		Aim:        job.Aim,
+		Deadline:   job.Deadline,
+		Priority:   job.Priority,
+		Worth:      job.Worth,
+	}))
+}
+
+// assign chooses the engine and tells the daemon that holds the client.
+func (s *Scheduler) assign(id string, o *owned) {
+	engine, ok := s.board.Choose(s.Clock.Now(), o.generation)
+	if !ok {
+		s.refuse(id, o, string(dispatch.NoTarget), noTargetRetry)
+		return
+	}
+	s.answer(o.origin, id, Assigned{Target: engine.ID, Address: engine.Address, Inputs: o.inputs})
+}
+
+// noTargetRetry is the time after which a request without a usable target may come again.
+const noTargetRetry = 500 * time.Millisecond
+
+func (s *Scheduler) refuse(id string, o *owned, reason string, retryAfter time.Duration) {
+	delete(s.owned, id)
+	s.board.Ended(id)
+	s.perform(s.planner.Withdraw(s.Clock.Now(), id))
+	s.answer(o.origin, id, Refused{Reason: reason, RetryAfter: retryAfter})
+}
+
+// again looks for another engine, after the one chosen before didn't run the request.
+func (s *Scheduler) again(id, failed string, inputsGone bool) {
+	o := s.owned[id]
+	if o == nil {
+		return
+	}
+	s.board.Ended(id)
+	if failed != "" {
+		if o.generation.Exclude == nil {
+			o.generation.Exclude = map[string]bool{}
+		}
+		o.generation.Exclude[failed] = true
+	}
+	if inputsGone && s.planner.Known(id) {
+		s.perform(s.planner.Redo(s.Clock.Now(), id))
+		return
+	}
+	s.assign(id, o)
+}
+
+func (s *Scheduler) began(id string) {
+	s.board.Began(id)
+	s.perform(s.planner.Consumed(s.Clock.Now(), id))
+}
+
+func (s *Scheduler) end(id string) {
+	delete(s.owned, id)
+	s.board.Ended(id)
+	s.perform(s.planner.Withdraw(s.Clock.Now(), id))
+}
+
+// expire forgets requests whose daemon never said that they are over.
+func (s *Scheduler) expire() {
+	now := s.Clock.Now()
+	for id, o := range s.owned {
+		if now.After(o.expires) {
+			s.end(id)
+		}
+	}
+}
+
+// perform carries out what the planner decided.
+func (s *Scheduler) perform(actions []dispatch.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case dispatch.StartCall:
+			s.startCall(a)
+		case dispatch.FreeResults:
+			s.free(a)
+		case dispatch.Finish:
+			if o := s.owned[a.Job]; o != nil {
+				o.inputs = a.Inputs
+				o.generation.BytesIn = a.BytesIn
+				s.assign(a.Job, o)
+			}
+		case dispatch.Reject:
+			if o := s.owned[a.Job]; o != nil {
+				s.refuse(a.Job, o, string(a.Reason), a.RetryAfter)
+			}
+		}
+	}
+}
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -46,6 +46,8 @@
 	Stopping Kind = "Stopping"
 	// Conflict is a change made against an older version.
 	Conflict Kind = "Conflict"
+	// Gone is something that no longer exists, such as history that was discarded.
+	Gone Kind = "Gone"
 	// Unavailable is a platform, peer or target that can't be reached.
 	Unavailable Kind = "Unavailable"
 	// Late is a deadline that passed before the answer was whole.
@@ -83,6 +85,7 @@
 	DataCentreOut:   {503, codes.Unavailable, true},
 	Stopping:        {503, codes.Unavailable, true},
 	Conflict:        {409, codes.Aborted, true},
+	Gone:            {410, codes.OutOfRange, true},
 	Unavailable:     {503, codes.Unavailable, true},
 	Late:            {504, codes.DeadlineExceeded, true},
 	TargetFailed:    {502, codes.Unavailable, true},
