fix(ingress): read framing from the headers as they arrived

Ruled out: the forwarding side, which sends what it is given. Conclusion: AllInOrder is the only view of the headers that is used.

--- a/internal/ingress/framing.go
+++ b/internal/ingress/framing.go
@@ -23,41 +23,63 @@
 	expects bool
 }
 
+// fault is a request that can't be handled as it is.
+type fault struct {
+	status int
+	reason string
+}
+
+func malformed(reason string) *fault {
+	return &fault{status: fasthttp.StatusBadRequest, reason: reason}
+}
+
 // frameOf reads the framing of a request. Anything that two readers could understand
 // differently is refused, since the rest could then be taken for another request.
-func frameOf(h *fasthttp.RequestHeader, limits route.Limits) (framing, string) {
+func frameOf(h *fasthttp.RequestHeader, limits route.Limits) (framing, *fault) {
 	f := framing{http10: string(h.Protocol()) != "HTTP/1.1"}
-	size := len(h.RawHeaders()) + len(h.Method()) + len(h.RequestURI())
-	if size > limits.HeaderBytes {
-		return f, "the head is larger than the limit"
+	if len(h.RawHeaders())+len(h.Method())+len(h.RequestURI()) > limits.HeaderBytes {
+		return f, &fault{status: fasthttp.StatusRequestHeaderFieldsTooLarge, reason: "the head is larger than the limit"}
 	}
-	lengths, encodings, hosts := h.PeekAll("Content-Length"), h.PeekAll("Transfer-Encoding"), h.PeekAll("Host")
-	if len(hosts) != 1 {
-		return f, "there must be one Host header"
+	if len(h.RequestURI()) == 0 || h.RequestURI()[0] != '/' {
+		return f, malformed("the target must be a path")
 	}
-	if len(lengths) > 1 || len(encodings) > 1 || len(lengths)+len(encodings) > 1 {
-		return f, "the length of the body is ambiguous"
+	var lengths, encodings, hosts, connections []string
+	for key, value := range h.AllInOrder() {
+		switch string(key) {
+		case fasthttp.HeaderContentLength:
+			lengths = append(lengths, string(value))
+		case fasthttp.HeaderTransferEncoding:
+			encodings = append(encodings, string(value))
+		case fasthttp.HeaderHost:
+			hosts = append(hosts, string(value))
+		case fasthttp.HeaderConnection:
+			connections = append(connections, string(value))
+		case fasthttp.HeaderExpect:
+			f.expects = strings.EqualFold(string(value), "100-continue")
+		}
 	}
-	if len(h.RequestURI()) == 0 || h.RequestURI()[0] != '/' {
-		return f, "the target must be a path"
+	if len(hosts) != 1 {
+		return f, malformed("there must be one Host header")
+	}
+	if len(lengths)+len(encodings) > 1 {
+		return f, malformed("the length of the body is ambiguous")
 	}
 	if len(lengths) == 1 {
-		n, err := strconv.ParseInt(string(lengths[0]), 10, 63)
-		if err != nil || n < 0 || strings.ContainsAny(string(lengths[0]), "+- ") {
-			return f, "malformed Content-Length"
+		n, err := strconv.ParseUint(lengths[0], 10, 62)
+		if err != nil {
+			return f, malformed("malformed Content-Length")
 		}
-		f.hasBody, f.length = true, n
+		f.hasBody, f.length = true, int64(n)
 	}
 	if len(encodings) == 1 {
-		if !strings.EqualFold(string(encodings[0]), "chunked") || f.http10 {
-			return f, "unsupported Transfer-Encoding"
+		if !strings.EqualFold(encodings[0], "chunked") || f.http10 {
+			return f, malformed("unsupported Transfer-Encoding")
 		}
 		f.hasBody, f.length = true, -1
 	}
-	connection := strings.ToLower(string(h.Peek("Connection")))
+	connection := strings.ToLower(strings.Join(connections, ","))
 	f.close = hasOption(connection, "close") || f.http10 && !hasOption(connection, "keep-alive")
-	f.expects = strings.EqualFold(string(h.Peek("Expect")), "100-continue")
-	return f, ""
+	return f, nil
 }
 
 func hasOption(value, option string) bool {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -271,24 +271,17 @@
 	header.DisableSpecialHeader()
 	header.SetNoDefaultContentType(true)
 	w := &Responder{conn: c, header: header}
-	before := c.reader.Buffered()
 	if err := header.Read(c.reader); err != nil {
-		return c.refuseHead(w, err, before)
+		return c.refuseHead(w, err)
 	}
-	framing, reason := frameOf(header, limits)
-	if reason != "" {
-		w.close = true
-		c.server.Handler.RefuseMalformed(w, fasthttp.StatusBadRequest, reason)
-		c.linger()
-		return false
+	framing, fault := frameOf(header, limits)
+	if fault != nil {
+		return c.refuse(w, fault.status, fault.reason)
 	}
 	w.close = framing.close || c.server.draining.Load()
 	w.http10 = framing.http10
 	if framing.length > int64(limits.BodyBytes) {
-		w.close = true
-		c.server.Handler.RefuseMalformed(w, fasthttp.StatusRequestEntityTooLarge, "the body is larger than the limit")
-		c.linger()
-		return false
+		return c.refuse(w, fasthttp.StatusRequestEntityTooLarge, "the body is larger than the limit")
 	}
 	body, release, ok := c.readBody(w, framing, limits)
 	defer release()
@@ -299,7 +292,7 @@
 	return c.handle(r, w)
 }
 
-func (c *conn) refuseHead(w *Responder, err error, buffered int) bool {
+func (c *conn) refuseHead(w *Responder, err error) bool {
 	w.close = true
 	var small *fasthttp.ErrSmallBuffer
 	switch {
@@ -366,7 +359,7 @@
 	if f.length > 0 {
 		reserved := f.length
 		if !c.server.reserve(reserved) {
-			return nil, release, c.refuseBody(w, fasthttp.StatusServiceUnavailable, "no memory for the body")
+			return nil, release, c.refuse(w, fasthttp.StatusServiceUnavailable, "no memory for the body")
 		}
 		release = func() { c.server.bodies.Add(-reserved) }
 		body = make([]byte, f.length)
@@ -377,7 +370,7 @@
 	}
 	reserved := int64(limits.BodyBytes)
 	if !c.server.reserve(reserved) {
-		return nil, release, c.refuseBody(w, fasthttp.StatusServiceUnavailable, "no memory for the body")
+		return nil, release, c.refuse(w, fasthttp.StatusServiceUnavailable, "no memory for the body")
 	}
 	release = func() { c.server.bodies.Add(-reserved) }
 	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.reader), int64(limits.BodyBytes)+1))
@@ -385,7 +378,7 @@
 		return nil, release, c.refuseUnread(w, err)
 	}
 	if len(body) > limits.BodyBytes {
-		return nil, release, c.refuseBody(w, fasthttp.StatusRequestEntityTooLarge, "the body is larger than the limit")
+		return nil, release, c.refuse(w, fasthttp.StatusRequestEntityTooLarge, "the body is larger than the limit")
 	}
 	if err := skipTrailer(c.reader); err != nil {
 		return nil, release, c.refuseUnread(w, err)
@@ -401,7 +394,7 @@
 	return true
 }
 
-func (c *conn) refuseBody(w *Responder, status int, reason string) bool {
+func (c *conn) refuse(w *Responder, status int, reason string) bool {
 	w.close = true
 	c.server.Handler.RefuseMalformed(w, status, reason)
 	c.linger()
@@ -411,11 +404,11 @@
 func (c *conn) refuseUnread(w *Responder, err error) bool {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return c.refuseBody(w, fasthttp.StatusRequestTimeout, "the body took too long")
+		return c.refuse(w, fasthttp.StatusRequestTimeout, "the body took too long")
 	case isClosed(err) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF):
 		return false
 	default:
-		return c.refuseBody(w, fasthttp.StatusBadRequest, "malformed body")
+		return c.refuse(w, fasthttp.StatusBadRequest, "malformed body")
 	}
 }
 
