feat(entry): pass on what one daemon reads of the store

Now copies of the tables are fed by own reads and by other daemons' (internal/mirror, checked against generated histories), and a daemon declines an assigned target that it knows to take no new work. Ruled out: a late feed; the store had answered others.

--- a/internal/cluster/mesh.go
+++ b/internal/cluster/mesh.go
@@ -264,6 +264,20 @@
 	return alive, known
 }
 
+// Position is the number of living members that rank before this one.
+func (m *Mesh) Position() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	position := 0
+	for host, p := range m.peers {
+		if m.alive(p, now) && rank(host) < rank(m.Self.Host) {
+			position++
+		}
+	}
+	return position
+}
+
 // NewestConfiguration returns the highest version that another living member told of.
 func (m *Mesh) NewestConfiguration() int64 {
 	m.mu.Lock()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -68,9 +68,8 @@
 	scheduler   *scheduler.Scheduler
 	forwarder   *forward.Forwarder
 	front       *ingress.Server
-	targets     targetReader
-	operators   operatorReader
-	members     memberReader
+	readers     map[string]*tableReader
+	members     members
 
 	listeners listeners
 	ready     atomic.Bool
@@ -183,9 +182,8 @@
 		Now:          h.Clock.Now,
 		MaxBodyBytes: int64(float64(s.Limits.MemoryBytes) * bodyShare),
 	}
-	h.targets = targetReader{host: h}
-	h.operators = operatorReader{host: h}
-	h.members = memberReader{host: h}
+	h.members = members{host: h}
+	h.makeReaders()
 	return nil
 }
 
@@ -231,9 +229,10 @@
 	t := &h.tasks
 	t.start("scheduler", h.scheduler.Run)
 	t.start("peers", func(ctx context.Context) error { return h.mesh.Serve(ctx, h.listeners.peers) })
-	t.start("operators", h.operators.run)
-	t.start("targets", h.targets.run)
-	t.start("members", h.members.run)
+	for table, reader := range h.readers {
+		t.start("read "+table, reader.run)
+	}
+	t.start("register", h.members.register)
 	t.start("world", h.updateWorld)
 	t.start("sweep", h.sweep)
 	t.start("reload", h.watchSettings)
@@ -265,7 +264,15 @@
 // isReady reports whether the balancer may send clients: a configuration and targets are
 // known, and no stop has begun.
 func (h *Host) isReady() bool {
-	return !h.stopping.Load() && h.table.Load() != nil && h.targets.loaded.Load()
+	return !h.stopping.Load() && h.table.Load() != nil && h.readers[platform.TableTargets].loaded()
+}
+
+// sleep waits, but not beyond the end of the context.
+func (h *Host) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-h.Clock.After(d):
+	}
 }
 
 // sweep closes idle connections.
@@ -310,7 +317,6 @@
 			h.log.Emit(event.SettingsRefused, "Reason", err.Error())
 			continue
 		}
-		h.members.setSeeds(s.Seeds)
 		h.log.Emit(event.SettingsRead, "Seeds", s.Seeds)
 	}
 }
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -2,30 +2,27 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/sequoiapick/sequoiapick/internal/cluster"
+	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
 	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/mirror"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
 	"github.com/sequoiapick/sequoiapick/platform"
 )
 
 const (
-	// feedWait is how long a feed call waits for a change; the store allows 30 s.
-	feedWait = 20 * time.Second
 	// retryPause and retryPauseMost bound the wait after a failed call to the store, which
 	// doubles with each failure.
 	retryPause     = 100 * time.Millisecond
 	retryPauseMost = 800 * time.Millisecond
-	// targetsInterval is the time between two reads of the targets' entries; a leaving
-	// target must be left within 2 s.
-	targetsInterval = 500 * time.Millisecond
-	// awayAfter is the time without an answer after which the store counts as away.
-	awayAfter = time.Second
+	// staggerStep is how much longer each further daemon waits before it reads in place of
+	// one that has fallen silent, so that usually one does.
+	staggerStep = 60 * time.Millisecond
+	// staggerMost bounds that wait.
+	staggerMost = 300 * time.Millisecond
 	// lapseWindow is the time after the store's return in which missing entries may come
 	// back.
 	lapseWindow = 2 * time.Second
@@ -43,276 +40,190 @@
 	return b.pause/2 + rand.N(b.pause/2+1)
 }
 
-func (h *Host) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-h.Clock.After(d):
-	}
-}
-
-// operatorReader learns the configuration and the data centres that are taken out.
-type operatorReader struct {
-	host    *Host
-	version int64
-	out     map[string]bool
+// tableReader keeps a copy of a table of the store. The daemon that leads reads and
+// passes on what it read; the others read when they haven't heard for longer than their
+// patience, and then pass it on as well, so that a daemon that the store turns away
+// learns from one that it serves.
+type tableReader struct {
+	host  *Host
+	table string
+	// wait is how long a read waits for a change.
+	wait time.Duration
+	// interval is the time between two reads of the daemon that leads.
+	interval time.Duration
+	// patience is the age of the copy at which other daemons read.
+	patience time.Duration
+	// lapseAfter is the time without a reading after which entries may have lapsed with
+	// the store.
+	lapseAfter time.Duration
+	// apply takes the rows that changed.
+	apply func(changes []platform.Row, lapsed bool)
+
+	mu       sync.Mutex
+	mirror   mirror.Mirror
+	whole    bool
+	returned time.Time
+	wake     chan struct{}
 }
 
-func (r *operatorReader) run(ctx context.Context) error {
+// run reads until the context ends.
+func (r *tableReader) run(ctx context.Context) error {
+	h := r.host
 	var wait backoff
-	fresh := true
 	for ctx.Err() == nil {
-		var err error
-		if fresh {
-			err = r.readAll(ctx)
-		} else {
-			err = r.follow(ctx)
+		if pause := r.pause(); pause > 0 {
+			r.sleep(ctx, pause)
+			continue
 		}
+		err := r.read(ctx)
 		switch {
 		case err == nil:
-			fresh = false
 			wait.reset()
 		case problem.Of(err) == problem.Gone:
-			fresh = true
+			r.setWhole()
 		default:
-			fresh = true // changes may have been missed
-			r.host.sleep(ctx, wait.next())
+			h.log.Emit(event.LoopFailed, "Task", r.table, "Reason", err.Error())
+			r.sleep(ctx, wait.next())
 		}
 	}
 	return nil
 }
 
-func (r *operatorReader) readAll(ctx context.Context) error {
-	rows, err := r.host.store.Read(ctx, platform.TableOperator)
-	if err != nil {
-		return err
-	}
-	r.version = rows.Version
-	out := map[string]bool{}
-	for _, row := range rows.Rows {
-		r.apply(row, out)
+// sleep waits, but not beyond a change of the leader.
+func (r *tableReader) sleep(ctx context.Context, d time.Duration) {
+	timer := r.host.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-r.wake:
+	case <-timer.Chan():
 	}
-	r.out = out
-	r.host.inventory.SetAllOut(out)
-	return nil
 }
 
-func (r *operatorReader) follow(ctx context.Context) error {
-	rows, err := r.host.store.Feed(ctx, platform.TableOperator, r.version, feedWait)
-	if err != nil {
-		return err
-	}
-	r.version = max(r.version, rows.Version)
-	for _, row := range rows.Rows {
-		r.apply(row, r.out)
+// wakeUp makes the reader look again whether it has to read.
+func (r *tableReader) wakeUp() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
 	}
-	r.host.inventory.SetAllOut(r.out)
-	return nil
 }
 
-// apply takes one row of the operators.
-func (r *operatorReader) apply(row platform.Row, out map[string]bool) {
+// pause is the time until this daemon has to read.
+func (r *tableReader) pause() time.Duration {
 	h := r.host
-	decoded, err := platform.DecodeOperatorRow(row)
-	if err != nil {
-		h.log.Emit(event.ConfigurationStale, "Row", row.Key, "Reason", err.Error())
-		return
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.mirror.Loaded() || r.whole {
+		return 0
 	}
-	switch d := decoded.(type) {
-	case platform.Configuration:
-		old := h.table.Load()
-		if old != nil && d.Table.Version <= old.Version {
-			return
-		}
-		h.table.Store(d.Table)
-		h.log.Emit(event.ConfigurationRaised, "Version", d.Table.Version, "Routes", len(d.Table.Routes))
-	case platform.Evacuation:
-		if out[d.DataCentre] != d.Out {
-			out[d.DataCentre] = d.Out
-			e := event.DataCentreIn
-			if d.Out {
-				e = event.DataCentreOut
-			}
-			h.log.Emit(e, "DataCentre", d.DataCentre)
-		}
+	patience := r.interval
+	if h.mesh.Leader() != h.settings.Host {
+		patience = r.patience + min(time.Duration(h.mesh.Position())*staggerStep, staggerMost)
 	}
+	return patience - r.mirror.Age(h.Clock.Now())
 }
 
-// targetReader learns what targets report in the store.
-type targetReader struct {
-	host     *Host
-	loaded   atomic.Bool
-	version  int64
-	answered time.Time
-	returned time.Time
-}
-
-func (r *targetReader) run(ctx context.Context) error {
-	var wait backoff
-	fresh := true
-	r.answered = r.host.Clock.Now()
-	for ctx.Err() == nil {
-		err := r.read(ctx, fresh)
-		switch {
-		case err == nil:
-			fresh = false
-			wait.reset()
-			r.loaded.Store(true)
-			r.host.sleep(ctx, targetsInterval)
-		case problem.Of(err) == problem.Gone:
-			fresh = true
-		default:
-			r.host.sleep(ctx, wait.next())
-		}
-	}
-	return nil
+func (r *tableReader) setWhole() {
+	r.mu.Lock()
+	r.whole = true
+	r.mu.Unlock()
 }
 
-func (r *targetReader) read(ctx context.Context, fresh bool) error {
+// read reads once, takes what it read and passes it on.
+func (r *tableReader) read(ctx context.Context) error {
 	h := r.host
+	r.mu.Lock()
+	o := mirror.Observation{Whole: r.whole || !r.mirror.Loaded(), From: r.mirror.Version(), ReadAt: h.Clock.Now()}
+	r.mu.Unlock()
 	var rows platform.Rows
 	var err error
-	if fresh {
-		rows, err = h.store.Read(ctx, platform.TableTargets)
+	if o.Whole {
+		rows, err = h.store.Read(ctx, r.table)
 	} else {
-		rows, err = h.store.Feed(ctx, platform.TableTargets, r.version, 0)
+		rows, err = h.store.Feed(ctx, r.table, o.From, r.wait)
 	}
 	if err != nil {
 		return err
 	}
-	now := h.Clock.Now()
-	if now.Sub(r.answered) > awayAfter {
-		r.returned = now
-	}
-	r.answered = now
-	lapsed := now.Sub(r.returned) < lapseWindow
-	r.version = max(r.version, rows.Version)
-	listed := map[string]bool{}
-	for _, row := range rows.Rows {
-		if row.Deleted {
-			h.inventory.Removed(row.Key, lapsed)
-			continue
-		}
-		report, err := platform.DecodeTarget(row)
-		if err != nil {
-			h.log.Emit(event.TargetMalformed, "Target", row.Key, "Reason", err.Error())
-			h.inventory.Removed(row.Key, false)
-			continue
-		}
-		listed[row.Key] = true
-		h.inventory.Report(report)
-	}
-	if fresh {
-		h.inventory.RemovedOthers(listed, lapsed)
+	if waited := o.ReadAt.Add(r.wait); !o.Whole && len(rows.Rows) == 0 && h.Clock.Now().After(waited) {
+		o.ReadAt = waited // the store can't have answered before the wait was over
 	}
+	o.To, o.Rows = rows.Version, rows.Rows
+	r.mu.Lock()
+	r.whole = false
+	r.mu.Unlock()
+	r.take(o)
+	h.mesh.Broadcast(r.encode(o))
 	return nil
 }
 
-// memberReader learns the other daemons and registers this one.
-type memberReader struct {
-	host *Host
-	left atomic.Bool
-
-	mu    sync.Mutex
-	seeds []string
-}
-
-func (r *memberReader) setSeeds(seeds []string) {
+// take applies an observation and reports whether it joined the copy.
+func (r *tableReader) take(o mirror.Observation) bool {
+	now := r.host.Clock.Now()
 	r.mu.Lock()
-	r.seeds = seeds
+	if r.mirror.Loaded() && o.ReadAt.Sub(now.Add(-r.mirror.Age(now))) > r.lapseAfter {
+		r.returned = now
+	}
+	lapsed := !r.returned.IsZero() && now.Sub(r.returned) < lapseWindow
+	changes, joined := r.mirror.Apply(o)
+	if joined && len(changes) > 0 {
+		r.apply(changes, lapsed)
+	}
 	r.mu.Unlock()
+	return joined
 }
 
-// run registers this daemon and follows the members' table.
-func (r *memberReader) run(ctx context.Context) error {
-	h := r.host
-	var wait backoff
-	registered := false
-	known := map[string]cluster.Member{}
-	version := int64(0)
-	fresh := true
-	for ctx.Err() == nil {
-		var err error
-		if !registered {
-			err = r.register(ctx)
-			registered = err == nil
-		}
-		if err == nil {
-			version, err = r.read(ctx, fresh, version, known)
-		}
-		switch {
-		case err == nil:
-			fresh = false
-			wait.reset()
-		case problem.Of(err) == problem.Gone:
-			fresh = true
-		default:
-			fresh = true
-			h.sleep(ctx, wait.next())
-		}
-	}
-	return nil
+// loaded reports whether the copy was ever complete.
+func (r *tableReader) loaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mirror.Loaded()
 }
 
-func (r *memberReader) register(ctx context.Context) error {
-	value, err := json.Marshal(r.host.mesh.Self)
-	if err != nil {
-		return problem.New(problem.Internal, "encode member: %v", err)
+func (r *tableReader) encode(o mirror.Observation) *clusterpb.Envelope {
+	m := &clusterpb.Observed{
+		Table:     r.table,
+		Whole:     o.Whole,
+		From:      o.From,
+		To:        o.To,
+		AgeMillis: r.host.Clock.Since(o.ReadAt).Milliseconds(),
 	}
-	_, err = r.host.store.Commit(ctx, platform.Transaction{Puts: []platform.Row{{
-		Table: platform.TableMembers, Key: r.host.settings.Host, Value: value,
-	}}})
-	return err
+	for _, row := range o.Rows {
+		m.Rows = append(m.Rows, &clusterpb.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
+	}
+	return &clusterpb.Envelope{Kind: &clusterpb.Envelope_Observed{Observed: m}}
 }
 
-func (r *memberReader) read(ctx context.Context, fresh bool, version int64, known map[string]cluster.Member) (int64, error) {
-	h := r.host
-	var rows platform.Rows
-	var err error
-	if fresh {
-		rows, err = h.store.Read(ctx, platform.TableMembers)
-		clear(known)
-	} else {
-		rows, err = h.store.Feed(ctx, platform.TableMembers, version, feedWait)
+// receive takes what another daemon read.
+func (r *tableReader) receive(from string, m *clusterpb.Observed) {
+	o := mirror.Observation{
+		Whole:  m.GetWhole(),
+		From:   m.GetFrom(),
+		To:     m.GetTo(),
+		ReadAt: r.host.Clock.Now().Add(-time.Duration(m.GetAgeMillis()) * time.Millisecond),
 	}
-	if err != nil {
-		return version, err
-	}
-	for _, row := range rows.Rows {
-		var member cluster.Member
-		if row.Deleted {
-			delete(known, row.Key)
-			continue
-		}
-		if err := json.Unmarshal(row.Value, &member); err != nil || member.Host != row.Key {
-			h.log.Emit(event.TargetMalformed, "Member", row.Key)
-			continue
-		}
-		known[row.Key] = member
+	for _, row := range m.GetRows() {
+		o.Rows = append(o.Rows, platform.Row{Table: r.table, Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Deleted: row.GetDeleted()})
 	}
-	members := make([]cluster.Member, 0, len(known))
-	for _, member := range known {
-		members = append(members, member)
+	if !r.take(o) {
+		r.want(from)
 	}
-	h.mesh.SetMembers(members)
-	return max(version, rows.Version), nil
 }
 
-// leaveTimeout bounds the removal of this daemon's row at a stop.
-const leaveTimeout = time.Second
+// want asks another daemon for the whole table.
+func (r *tableReader) want(from string) {
+	r.host.mesh.Send(from, &clusterpb.Envelope{Kind: &clusterpb.Envelope_Wanted{Wanted: &clusterpb.Wanted{Table: r.table}}})
+}
 
-// leave removes this daemon's row.
-func (r *memberReader) leave() {
-	if r.left.Swap(true) {
+// reply sends the whole table to another daemon.
+func (r *tableReader) reply(to string) {
+	r.mu.Lock()
+	if !r.mirror.Loaded() {
+		r.mu.Unlock()
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	go func() {
-		defer cancel()
-		_, err := r.host.store.Commit(ctx, platform.Transaction{Removals: []platform.Row{{
-			Table: platform.TableMembers, Key: r.host.settings.Host,
-		}}})
-		if err != nil {
-			r.host.log.Emit(event.LoopFailed, "Task", "leave", "Reason", err.Error())
-		}
-	}()
+	now := r.host.Clock.Now()
+	o := mirror.Observation{Whole: true, To: r.mirror.Version(), Rows: r.mirror.Rows(), ReadAt: now.Add(-r.mirror.Age(now))}
+	r.mu.Unlock()
+	r.host.mesh.Send(to, r.encode(o))
 }
--- a/internal/entry/world.go
+++ b/internal/entry/world.go
@@ -76,16 +76,40 @@
 
 // Receive implements cluster.Handler.
 func (h *Host) Receive(from string, e *clusterpb.Envelope) {
-	h.scheduler.Receive(from, e)
+	switch k := e.GetKind().(type) {
+	case *clusterpb.Envelope_Observed:
+		if r := h.readers[k.Observed.GetTable()]; r != nil {
+			r.receive(from, k.Observed)
+		}
+	case *clusterpb.Envelope_Wanted:
+		if r := h.readers[k.Wanted.GetTable()]; r != nil {
+			r.reply(from)
+		}
+	default:
+		h.scheduler.Receive(from, e)
+	}
 }
 
 // LeaderChanged implements cluster.Handler.
 func (h *Host) LeaderChanged(leader string) {
 	h.log.Emit(event.LeaderChanged, "Leader", leader)
+	for _, r := range h.readers {
+		r.wakeUp()
+	}
 }
 
 // Learned implements cluster.Handler.
-func (h *Host) Learned(members []cluster.Member) {}
+func (h *Host) Learned(members []cluster.Member) {
+	for _, m := range members {
+		h.log.Emit(event.MemberLearned, "Member", m.Host, "Address", m.Address, "Incarnation", m.Incarnation)
+	}
+}
 
-// Linked implements cluster.Handler.
-func (h *Host) Linked(host string) {}
+// Linked implements cluster.Handler: what this daemon couldn't read it asks for.
+func (h *Host) Linked(host string) {
+	for _, r := range h.readers {
+		if !r.loaded() {
+			r.want(host)
+		}
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -42,6 +42,7 @@
 	AttemptHedged       = Event{305, "AttemptHedged", "a second attempt was started beside a slow one"}
 	LateAnswerDropped   = Event{306, "LateAnswerDropped", "the answer of an attempt that had lost was dropped"}
 	StageCallFailed     = Event{307, "StageCallFailed", "a call to a stage target failed, its pieces go to another"}
+	TargetDeclined      = Event{308, "TargetDeclined", "an assigned target is known here to take no new work"}
 	TargetCold          = Event{400, "TargetCold", "a target turned cold"}
 	TargetLeaving       = Event{401, "TargetLeaving", "a target is leaving"}
 	TargetMalformed     = Event{402, "TargetMalformed", "an entry of the platform's store can't be read and names nothing to use"}
@@ -51,6 +52,7 @@
 	PauseDetected       = Event{503, "PauseDetected", "the process was paused"}
 	LinkLost            = Event{504, "LinkLost", "the link to another daemon was lost and will be opened again"}
 	LeaderChanged       = Event{505, "LeaderChanged", "another daemon leads the dispatch of stages"}
+	MemberLearned       = Event{506, "MemberLearned", "another daemon, or a new start of one, was heard of"}
 	ConfigurationRaised = Event{600, "ConfigurationRaised", "a newer configuration is in force"}
 	ConfigurationStale  = Event{601, "ConfigurationStale", "an older configuration was refused"}
 	DataCentreOut       = Event{602, "DataCentreOut", "an order takes a data centre out"}
@@ -73,9 +75,9 @@
 		DaemonStarted, DaemonStopping, DaemonStopped, StepFailed, LoopFailed, SettingsRead, SettingsRefused,
 		RequestAdmitted, RequestRefused, RequestAnswered, RequestFailed,
 		EntryRefused, EntryAbandoned, StreamBroken,
-		StageRouted, StageHeld, StageRefused, AttemptFailed, AttemptForwarded, AttemptHedged, LateAnswerDropped, StageCallFailed,
+		StageRouted, StageHeld, StageRefused, AttemptFailed, AttemptForwarded, AttemptHedged, LateAnswerDropped, StageCallFailed, TargetDeclined,
 		TargetCold, TargetLeaving, TargetMalformed,
-		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected, LinkLost, LeaderChanged,
+		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected, LinkLost, LeaderChanged, MemberLearned,
 		ConfigurationRaised, ConfigurationStale, DataCentreOut, DataCentreIn,
 		KeyClaimed, KeyForwarded, KeyUnverified, KeysHandedOver, KeysInherited,
 		DraftAccepted, DraftTakenOver, DraftFinished,
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -48,8 +48,12 @@
 			return
 		}
 		target, known := q.f.Inventory.Target(assigned.Target)
-		if !known {
-			target = inventory.Target{ID: assigned.Target, Address: assigned.Address}
+		if !known || !target.Usable() {
+			// The daemon that leads may know less than this one, for example when the store
+			// turns it away.
+			q.f.Log.Emit(event.TargetDeclined, "Request", q.call.AttemptID, "Target", assigned.Target, "Known", known, "Draining", target.Draining, "Out", target.Out)
+			ticket.Again(assigned.Target, false)
+			continue
 		}
 		if !q.maySend() {
 			q.endStream(ctx, s, problem.New(problem.Overloaded, "no more attempts"), busyRetryAfter)
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,119 @@
+package mirror_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/mirror"
+	"github.com/sequoiapick/sequoiapick/platform"
+)
+
+func row(key string, version int64) platform.Row {
+	return platform.Row{Key: key, Version: version, Value: []byte(fmt.Sprint(version))}
+}
+
+func TestObservationThatDoesNotJoinIsRefused(t *testing.T) {
+	var m mirror.Mirror
+	if _, joined := m.Apply(mirror.Observation{From: 5, To: 9}); joined {
+		t.Fatal("changes joined an empty copy")
+	}
+	m.Apply(mirror.Observation{Whole: true, To: 10, Rows: []platform.Row{row("a", 3)}})
+	if _, joined := m.Apply(mirror.Observation{From: 11, To: 12, Rows: []platform.Row{row("b", 12)}}); joined {
+		t.Fatal("a gap between versions 10 and 11 was accepted")
+	}
+	changes, joined := m.Apply(mirror.Observation{From: 9, To: 12, Rows: []platform.Row{row("b", 12)}})
+	if !joined || len(changes) != 1 || m.Version() != 12 {
+		t.Fatalf("got %v %v at version %d", changes, joined, m.Version())
+	}
+}
+
+func TestOlderWholeReadingRemovesNothing(t *testing.T) {
+	var m mirror.Mirror
+	m.Apply(mirror.Observation{Whole: true, To: 10, Rows: []platform.Row{row("a", 3), row("b", 9)}})
+	if changes, _ := m.Apply(mirror.Observation{Whole: true, To: 5, Rows: []platform.Row{row("a", 3)}}); len(changes) != 0 || len(m.Rows()) != 2 {
+		t.Fatalf("an older reading changed the copy: %v", changes)
+	}
+}
+
+func TestRemovalThatTheCopyHasPassedIsIgnored(t *testing.T) {
+	var m mirror.Mirror
+	m.Apply(mirror.Observation{Whole: true, To: 20, Rows: []platform.Row{row("a", 15)}})
+	m.Apply(mirror.Observation{From: 5, To: 12, Rows: []platform.Row{{Key: "a", Version: 12, Deleted: true}}})
+	if len(m.Rows()) != 1 {
+		t.Fatal("a removal before version 20 removed a row of version 15")
+	}
+}
+
+func TestAgeIsThatOfTheNewestRead(t *testing.T) {
+	var m mirror.Mirror
+	begin := time.Unix(1000, 0)
+	m.Apply(mirror.Observation{Whole: true, To: 2, ReadAt: begin.Add(time.Second)})
+	m.Apply(mirror.Observation{From: 1, To: 2, ReadAt: begin})
+	if age := m.Age(begin.Add(2 * time.Second)); age != time.Second {
+		t.Fatalf("age %v, expected 1s", age)
+	}
+}
+
+// TestCopiesAgreeWithTheTable feeds copies with observations in any order and compares
+// them with the table at their version.
+func TestCopiesAgreeWithTheTable(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var log []platform.Row
+		at := func(version int64) map[string]int64 {
+			table := map[string]int64{}
+			for _, r := range log {
+				if r.Version > version {
+					break
+				}
+				table[r.Key] = r.Version
+				if r.Deleted {
+					delete(table, r.Key)
+				}
+			}
+			return table
+		}
+		for v := int64(1); v <= 40; v++ {
+			r := row(fmt.Sprintf("k%d", random.IntN(6)), v)
+			r.Deleted = random.IntN(4) == 0
+			log = append(log, r)
+		}
+		var m mirror.Mirror
+		for range 60 {
+			from, to := random.Int64N(41), random.Int64N(41)
+			if from > to {
+				from, to = to, from
+			}
+			o := mirror.Observation{Whole: random.IntN(5) == 0, From: from, To: to}
+			if o.Whole {
+				for key, version := range at(to) {
+					o.Rows = append(o.Rows, row(key, version))
+				}
+			} else {
+				newest := map[string]platform.Row{}
+				for _, r := range log[from:to] {
+					newest[r.Key] = r
+				}
+				for _, r := range newest {
+					o.Rows = append(o.Rows, r)
+				}
+			}
+			m.Apply(o)
+			want := at(m.Version())
+			if !m.Loaded() {
+				continue
+			}
+			got := m.Rows()
+			if len(got) != len(want) {
+				t.Fatalf("seed %d: %d rows at version %d, expected %d", seed, len(got), m.Version(), len(want))
+			}
+			for _, r := range got {
+				if want[r.Key] != r.Version {
+					t.Fatalf("seed %d: row %s has version %d, expected %d", seed, r.Key, r.Version, want[r.Key])
+				}
+			}
+		}
+	}
+}
