feat(exchange): bound the wait for the head and for each part of an answer

Cause: a mute or hanging target held a repeatable request until its deadline. Ruled out: hedging at once, it needs the budget measured first.

--- a/internal/cluster/mesh.go
+++ b/internal/cluster/mesh.go
@@ -83,7 +83,6 @@
 	mu       sync.Mutex
 	ctx      context.Context
 	peers    map[string]*peer
-	byAddr   map[string]bool
 	election Election
 	leader   string
 	stopping bool
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -189,8 +189,6 @@
 	batch   service.Batch
 	targets []*targetState
 	tasks   []*task
-	// pieceTime is the measured time of one piece, by the average over calls.
-	pieceTime time.Duration
 }
 
 type targetState struct {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -72,7 +72,6 @@
 	members     members
 
 	listeners listeners
-	ready     atomic.Bool
 	stopping  atomic.Bool
 	tasks     tasks
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -111,6 +111,10 @@
 	Body []byte
 	// AttemptID is expected in the answer; empty expects none.
 	AttemptID string
+	// FirstByte bounds the wait for the head of the answer; 0 means no bound.
+	FirstByte time.Duration
+	// Stall bounds the wait for each part of the body; 0 means no bound.
+	Stall time.Duration
 	// NoBody says that the answer has no body, whatever its head says.
 	NoBody bool
 }
@@ -138,6 +142,7 @@
 	idleFor  time.Duration
 	idleTill time.Time
 	sent     chan error
+	deadline time.Time
 	// stop ends the watch over the context of the last exchange.
 	stop func() bool
 }
@@ -327,12 +332,15 @@
 	if ctx.Err() != nil {
 		return nil, &SendError{NotSent: true, Reused: c.reused, Err: problem.New(problem.Cancelled, "send: %v", context.Cause(ctx))}
 	}
-	deadline, _ := ctx.Deadline()
-	_ = c.net.SetDeadline(deadline)
+	c.deadline, _ = ctx.Deadline()
+	_ = c.net.SetDeadline(c.deadline)
 	c.stop = context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	if err := c.send(r); err != nil {
 		return nil, c.failed("send", err)
 	}
+	if r.FirstByte > 0 {
+		c.readWithin(r.FirstByte)
+	}
 	for range maxExtraAnswers + 1 {
 		answer, err := c.receive(r)
 		if err != nil {
@@ -348,6 +356,15 @@
 	return nil, c.failed("answer", problem.New(problem.TargetFailed, "answers belong to other requests"))
 }
 
+// readWithin bounds the next reads, but not beyond the deadline of the exchange.
+func (c *Conn) readWithin(d time.Duration) {
+	limit := time.Now().Add(d)
+	if !c.deadline.IsZero() && c.deadline.Before(limit) {
+		limit = c.deadline
+	}
+	_ = c.net.SetReadDeadline(limit)
+}
+
 func (c *Conn) failed(context string, err error) error {
 	return &SendError{Reused: c.reused, Err: problem.New(problem.Unavailable, "%s %s: %v", context, c.Address, err)}
 }
@@ -379,6 +396,9 @@
 			break
 		}
 	}
+	if r.FirstByte > 0 {
+		_ = c.net.SetReadDeadline(c.deadline)
+	}
 	answer.Head = platform.DecodeAnswer(&answer.Header)
 	c.frame(answer, r)
 	return answer, nil
@@ -401,6 +421,9 @@
 	default:
 		answer.Body = &body{conn: c, reader: c.reader}
 	}
+	if r.Stall > 0 {
+		answer.Body = &stalling{conn: c, reader: answer.Body, limit: r.Stall}
+	}
 	c.idleFor = idleFor(&answer.Header)
 }
 
@@ -423,6 +446,19 @@
 
 func (eof) Read([]byte) (int, error) { return 0, io.EOF }
 
+// stalling bounds the wait for each part of a body.
+type stalling struct {
+	conn   *Conn
+	reader io.Reader
+	limit  time.Duration
+}
+
+// Read implements io.Reader.
+func (s *stalling) Read(p []byte) (int, error) {
+	s.conn.readWithin(s.limit)
+	return s.reader.Read(p)
+}
+
 // body reads the body of an answer and marks its connection whole at the end.
 type body struct {
 	conn     *Conn
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -185,7 +185,7 @@
 }
 
 // forwardTo builds the request for a target.
-func (q *run) forwardTo(target string, inputs []string, urgency int, lastEvent string) exchange.Request {
+func (q *run) forwardTo(target string, extra extras) exchange.Request {
 	length := -1
 	if q.request.HasBody {
 		length = len(q.request.Body)
@@ -194,15 +194,17 @@
 		Target:     target,
 		Account:    q.account,
 		Left:       q.left(),
-		Inputs:     inputs,
-		Urgency:    urgency,
-		LastEvent:  lastEvent,
+		Inputs:     extra.inputs,
+		Urgency:    extra.urgency,
+		LastEvent:  extra.lastEvent,
 		BodyLength: length,
 	})
 	return exchange.Request{
 		Head:      head,
 		Body:      q.request.Body,
 		AttemptID: q.call.AttemptID,
+		FirstByte: extra.firstByte,
+		Stall:     extra.stall,
 		NoBody:    q.request.Header.IsHead(),
 	}
 }
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -131,7 +131,11 @@
 // engineOnce sends the request to one engine and passes its stream on.
 func (q *run) engineOnce(ctx context.Context, s *stream, ticket *scheduler.Ticket, target inventory.Target, inputs []string) outcome {
 	f := q.f
-	answer, conn, err := q.send(ctx, target, inputs, q.urgency(), s.lastEvent)
+	extra := extras{inputs: inputs, urgency: q.urgency(), lastEvent: s.lastEvent}
+	if q.route.Resumable {
+		extra.stall = stallTime
+	}
+	answer, conn, err := q.send(ctx, target, extra)
 	if err != nil {
 		return outcome{err: err}
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -24,7 +24,7 @@
 
 // plain answers a request that one target answers at once.
 func (q *run) plain(ctx context.Context) {
-	var last error = problem.New(problem.Unavailable, "no usable target")
+	last := problem.New(problem.Unavailable, "no usable target")
 	for ctx.Err() == nil {
 		target, ok := q.f.load.choose(q.f.Clock.Now(), q.f.Inventory.Targets(q.service), q.f.DataCentre, q.tried)
 		if !ok || !q.maySend() {
@@ -49,7 +49,7 @@
 	f.load.begin(target.ID)
 	var load *platform.Load
 	defer func() { f.load.end(target.ID, f.Clock.Now(), load) }()
-	answer, conn, err := q.send(ctx, target, nil, noUrgency, "")
+	answer, conn, err := q.send(ctx, target, extras{urgency: noUrgency, firstByte: q.patience()})
 	if err != nil {
 		return false, err
 	}
@@ -112,9 +112,32 @@
 	return q.w.End()
 }
 
+// slowRatio is the time over the aim after which a request that may be repeated is tried
+// at another target.
+const slowRatio = 1.5
+
+// patience is the time for which a target may let a request wait that can be sent to
+// another one; 0 means without bound.
+func (q *run) patience() time.Duration {
+	if !q.route.Idempotent() || q.sends+1 >= q.route.MaxAttempts {
+		return 0
+	}
+	return time.Duration(float64(q.route.Aim) * slowRatio)
+}
+
+// extras is what a request carries besides what its client sent.
+type extras struct {
+	inputs    []string
+	urgency   int
+	lastEvent string
+	// firstByte and stall bound the waits for the answer; 0 means no bound.
+	firstByte time.Duration
+	stall     time.Duration
+}
+
 // send sends the request to a target and returns the head of the answer. The caller must
 // release or discard the connection if there is no error.
-func (q *run) send(ctx context.Context, target inventory.Target, inputs []string, urgency int, lastEvent string) (*exchange.Answer, *exchange.Conn, error) {
+func (q *run) send(ctx context.Context, target inventory.Target, extra extras) (*exchange.Answer, *exchange.Conn, error) {
 	f := q.f
 	reuse := q.reuse()
 	for {
@@ -124,7 +147,7 @@
 			f.Log.Emit(event.AttemptFailed, "Request", q.call.AttemptID, "Target", target.ID, "NotSent", true, "Reason", err.Error())
 			return nil, nil, err
 		}
-		answer, err := conn.Do(ctx, q.forwardTo(target.ID, inputs, urgency, lastEvent))
+		answer, err := conn.Do(ctx, q.forwardTo(target.ID, extra))
 		if err == nil {
 			q.sends++
 			return answer, conn, nil
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -18,10 +18,9 @@
 	// owner is the daemon that works on the request, empty while there is none.
 	owner string
 	// waiting says that an answer is awaited, since when in asked.
-	waiting    bool
-	asked      time.Time
-	excluded   map[string]bool
-	inputsGone bool
+	waiting  bool
+	asked    time.Time
+	excluded map[string]bool
 }
 
 // updatesLength is more than the answers that a ticket can have outstanding.
