--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -113,7 +113,8 @@
 	Call   uint64
 	Target Target
 	Pieces []Piece
-	// Expected is the predicted duration of the call.
+	// Started is when the call was decided, Expected its predicted duration.
+	Started  time.Time
 	Expected time.Duration
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -186,7 +186,7 @@
 	p.calls[c.id] = c
 	t.running[c.id] = c
 	t.used += c.bytes
-	p.actions = append(p.actions, StartCall{Call: c.id, Target: t.Target, Pieces: pieces, Expected: c.expected})
+	p.actions = append(p.actions, StartCall{Call: c.id, Target: t.Target, Pieces: pieces, Started: now, Expected: c.expected})
 	return true
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -32,6 +32,7 @@
 	RequestAnswered     = Event{202, "RequestAnswered", "the whole answer was produced"}
 	RequestFailed       = Event{203, "RequestFailed", "a request failed after it was admitted"}
 	EntryRefused        = Event{204, "EntryRefused", "a client's request was refused or failed"}
+	EntryAnswered       = Event{207, "EntryAnswered", "a client's request was answered by a target"}
 	EntryAbandoned      = Event{205, "EntryAbandoned", "a client left before its answer"}
 	StreamBroken        = Event{206, "StreamBroken", "a stream was broken off before its end"}
 	StageRouted         = Event{300, "StageRouted", "a target was chosen for an attempt"}
@@ -41,6 +42,9 @@
 	AttemptForwarded    = Event{304, "AttemptForwarded", "an attempt was handed to the guardian of a cold target"}
 	AttemptHedged       = Event{305, "AttemptHedged", "a second attempt was started beside a slow one"}
 	LateAnswerDropped   = Event{306, "LateAnswerDropped", "the answer of an attempt that had lost was dropped"}
+	EngineAssigned      = Event{309, "EngineAssigned", "the stages of a request are done and its engine is chosen"}
+	JobRejected         = Event{310, "JobRejected", "the stages of a request can't be done"}
+	StageCallEnded      = Event{311, "StageCallEnded", "a call to a stage target has its results"}
 	StageCallFailed     = Event{307, "StageCallFailed", "a call to a stage target failed, its pieces go to another"}
 	TargetDeclined      = Event{308, "TargetDeclined", "an assigned target is known here to take no new work"}
 	TargetCold          = Event{400, "TargetCold", "a target turned cold"}
@@ -73,9 +77,10 @@
 func Catalogue() []Event {
 	return []Event{
 		DaemonStarted, DaemonStopping, DaemonStopped, StepFailed, LoopFailed, SettingsRead, SettingsRefused,
-		RequestAdmitted, RequestRefused, RequestAnswered, RequestFailed,
-		EntryRefused, EntryAbandoned, StreamBroken,
-		StageRouted, StageHeld, StageRefused, AttemptFailed, AttemptForwarded, AttemptHedged, LateAnswerDropped, StageCallFailed, TargetDeclined,
+		RequestAdmitted, RequestRefused, RequestAnswered, RequestFailed, EntryRefused, EntryAbandoned, StreamBroken,
+		EntryAnswered,
+		StageRouted, StageHeld, StageRefused, AttemptFailed, AttemptForwarded, AttemptHedged, LateAnswerDropped,
+		StageCallFailed, TargetDeclined, EngineAssigned, JobRejected, StageCallEnded,
 		TargetCold, TargetLeaving, TargetMalformed,
 		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected, LinkLost, LeaderChanged, MemberLearned,
 		ConfigurationRaised, ConfigurationStale, DataCentreOut, DataCentreIn,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -64,6 +64,23 @@
 	sends int
 	ran   bool
 	tried map[string]bool
+	// assigned is when the stages were done and an engine was chosen; began when the target
+	// began to answer.
+	assigned time.Time
+	began    time.Time
+}
+
+// answered logs that a target answered the request.
+func (q *run) answered(target string, status int) {
+	since := func(t time.Time) int64 {
+		if t.IsZero() {
+			return 0
+		}
+		return t.Sub(q.request.Arrived).Milliseconds()
+	}
+	q.f.Log.Emit(event.EntryAnswered, "Request", q.call.AttemptID, "Route", q.route.Name, "Version", q.table.Version,
+		"Target", target, "Status", status, "Sends", q.sends, "AimMillis", q.route.Aim.Milliseconds(),
+		"AssignedMillis", since(q.assigned), "BeganMillis", since(q.began), "Millis", since(q.f.Clock.Now()))
 }
 
 // RefuseMalformed implements ingress.Handler.
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -48,6 +48,7 @@
 			q.endStream(ctx, s, problem.New(problem.Overloaded, "%s", refused.Reason), refused.RetryAfter)
 			return
 		}
+		q.assigned = q.f.Clock.Now()
 		target, known := q.f.Inventory.Target(assigned.Target)
 		if !known || !target.Usable() {
 			// The daemon that leads may know less than this one, for example when the store
@@ -178,6 +179,7 @@
 	if err == nil {
 		f.Pool.Release(conn)
 		f.Inventory.Succeeded(target.ID)
+		q.answered(target.ID, answer.Head.Status)
 		return outcome{done: true}
 	}
 	f.Pool.Discard(conn)
@@ -205,6 +207,7 @@
 		return outcome{err: problem.New(problem.TargetFailed, "target %s answered with status %d", target.ID, answer.Head.Status), inputsGone: true}
 	}
 	_ = q.w.Answer(answer.Head.Status, platform.AppendAnswerFields(nil, &answer.Header), body)
+	q.answered(target.ID, answer.Head.Status)
 	return outcome{done: true}
 }
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -81,6 +81,7 @@
 	}
 	f.Inventory.Succeeded(target.ID)
 	_ = q.w.Answer(answer.Head.Status, platform.AppendAnswerFields(nil, &answer.Header), body)
+	q.answered(target.ID, answer.Head.Status)
 	return true, nil
 }
 
@@ -150,6 +151,7 @@
 		answer, err := conn.Do(ctx, q.forwardTo(target.ID, extra))
 		if err == nil {
 			q.sends++
+			q.began = f.Clock.Now()
 			return answer, conn, nil
 		}
 		f.Pool.Discard(conn)
--- a/internal/scheduler/call.go
+++ b/internal/scheduler/call.go
@@ -52,6 +52,8 @@
 func (s *Scheduler) callEnded(a dispatch.StartCall, results []dispatch.Result, failure dispatch.CallFailure, err error) {
 	now := s.Clock.Now()
 	if failure == "" {
+		s.Log.Emit(event.StageCallEnded, "Call", a.Call, "Target", a.Target.ID, "Service", a.Target.Service, "DataCentre", a.Target.DataCentre,
+			"Pieces", len(a.Pieces), "ExpectedMillis", a.Expected.Milliseconds(), "Millis", now.Sub(a.Started).Milliseconds(), "Failed", countFailures(results))
 		s.perform(s.planner.CallEnded(now, a.Call, results))
 		return
 	}
@@ -59,6 +61,21 @@
 	s.perform(s.planner.CallFailed(now, a.Call, failure))
 }
 
+// countFailures counts the pieces without a result by their failure.
+func countFailures(results []dispatch.Result) map[string]int {
+	var counts map[string]int
+	for _, r := range results {
+		if r.Failure == "" {
+			continue
+		}
+		if counts == nil {
+			counts = map[string]int{}
+		}
+		counts[string(r.Failure)]++
+	}
+	return counts
+}
+
 func reason(err error) string {
 	if err == nil {
 		return ""
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -212,6 +212,7 @@
 		s.refuse(id, o, string(dispatch.NoTarget), noTargetRetry)
 		return
 	}
+	s.Log.Emit(event.EngineAssigned, "Request", id, "Origin", o.origin, "Target", engine.ID, "DataCentre", engine.DataCentre, "Inputs", len(o.inputs))
 	s.answer(o.origin, id, Assigned{Target: engine.ID, Address: engine.Address, Inputs: o.inputs})
 }
 
@@ -222,6 +223,7 @@
 	delete(s.owned, id)
 	s.board.Ended(id)
 	s.perform(s.planner.Withdraw(s.Clock.Now(), id))
+	s.Log.Emit(event.JobRejected, "Request", id, "Origin", o.origin, "Reason", reason, "RetryAfterMillis", retryAfter.Milliseconds())
 	s.answer(o.origin, id, Refused{Reason: reason, RetryAfter: retryAfter})
 }
 
