feat(entry): leave the targets of a cut data centre at once, go on from made results

Cause: after a cut both sides still called targets across it and a new leader ran all stages again, unable to know what was made.

--- a/internal/cluster/mesh.go
+++ b/internal/cluster/mesh.go
@@ -35,9 +35,9 @@
 	BeatInterval = 100 * time.Millisecond
 	// SilenceLimit is the time without a beat after which a member counts as dead. A busy
 	// host may be late by two or three beats.
-	SilenceLimit = 500 * time.Millisecond
+	SilenceLimit = 400 * time.Millisecond
 	// electionPatience is the time without a leader after which a daemon claims.
-	electionPatience = 250 * time.Millisecond
+	electionPatience = 150 * time.Millisecond
 	// dialTimeout bounds the opening of a link.
 	dialTimeout = time.Second
 	// redialPause is the wait before a failed link is opened again.
@@ -263,6 +263,24 @@
 	return alive, known
 }
 
+// Silent returns the data centres of which members are known and none answers.
+func (m *Mesh) Silent() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	silent := map[string]bool{}
+	for _, p := range m.peers {
+		if _, known := silent[p.member.DataCentre]; !known {
+			silent[p.member.DataCentre] = true
+		}
+		if m.alive(p, now) {
+			silent[p.member.DataCentre] = false
+		}
+	}
+	silent[m.Self.DataCentre] = false
+	return silent
+}
+
 // Position is the number of living members that rank before this one.
 func (m *Mesh) Position() int {
 	m.mu.Lock()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -52,6 +52,19 @@
 	Priority int
 	// Worth is what the request earns if it is on time.
 	Worth float64
+	// Done are results that another planner has had made for the job.
+	Done []Done
+}
+
+// Done is a result that was made.
+type Done struct {
+	Stage  int
+	Index  int
+	Handle string
+	// Target is the ID of the target that keeps the result.
+	Target string
+	// Made is when the result was made.
+	Made time.Time
 }
 
 // Stage is one stage of a job.
@@ -105,7 +118,7 @@
 	Lost CallFailure = "Lost"
 )
 
-// Action is what the caller must do: a StartCall, FreeResults, Finish or Reject.
+// Action is what the caller must do: a StartCall, FreeResults, Progress, Finish or Reject.
 type Action interface{ isAction() }
 
 // StartCall sends a call to a target.
@@ -124,6 +137,13 @@
 	Handles []string
 }
 
+// Progress tells of results that were made for a job, so that another planner can go on
+// from them.
+type Progress struct {
+	Job  string
+	Done []Done
+}
+
 // Finish says that all stages of a job are done.
 type Finish struct {
 	Job string
@@ -157,6 +177,7 @@
 
 func (StartCall) isAction()   {}
 func (FreeResults) isAction() {}
+func (Progress) isAction()    {}
 func (Finish) isAction()      {}
 func (Reject) isAction()      {}
 
@@ -403,11 +424,40 @@
 		state.stages = append(state.stages, s)
 	}
 	p.jobs[j.ID] = state
+	for _, d := range j.Done {
+		p.adopt(state, d)
+	}
 	p.advance(state)
 	p.plan(now)
 	return p.take()
 }
 
+// adoptMargin is how long before the end of its life a result is no longer relied on.
+const adoptMargin = time.Second
+
+// adopt takes a result that another planner has had made, if it can still be used.
+func (p *Planner) adopt(j *job, d Done) {
+	if d.Stage < 0 || d.Stage >= len(j.stages) || d.Index < 0 || d.Index >= len(j.stages[d.Stage].results) {
+		return
+	}
+	s := j.stages[d.Stage]
+	t := p.targets[d.Target]
+	if t == nil || s.results[d.Index].handle != "" {
+		return
+	}
+	if life := t.pool.batch.ResultLifetime; life > 0 && p.now.Sub(d.Made) > life-adoptMargin {
+		return
+	}
+	p.keepResult(s, d.Index, t, d.Handle)
+}
+
+func (p *Planner) keepResult(s *stageState, index int, t *targetState, handle string) {
+	s.results[index] = result{handle: handle, target: t, bytes: s.plan.ResultBytes, calls: s.results[index].calls}
+	s.missing--
+	t.results[handle] = s.plan.ResultBytes
+	t.used += s.plan.ResultBytes
+}
+
 // Withdraw forgets a job, whether it is done or not, and frees its results.
 func (p *Planner) Withdraw(now time.Time, id string) []Action {
 	p.now = now
@@ -490,7 +540,7 @@
 // finishes the job when everything is there.
 func (p *Planner) advance(j *job) {
 	for _, s := range j.stages {
-		if !s.queued && s.missing > 0 && p.inputsReady(j, s) {
+		if !s.queued && s.missing > 0 && j.wanted(s) && p.inputsReady(j, s) {
 			s.queued = true
 			for i := range s.results {
 				if s.results[i].handle == "" {
@@ -510,6 +560,19 @@
 	}
 }
 
+// wanted reports whether the results of the stage are still needed.
+func (j *job) wanted(s *stageState) bool {
+	if j.final(s) {
+		return true
+	}
+	for _, other := range j.stages {
+		if other.missing > 0 && slices.Contains(other.plan.After, s.index) && j.wanted(other) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Planner) inputsReady(j *job, s *stageState) bool {
 	for _, before := range s.plan.After {
 		if b := j.stages[before]; b.missing > 0 || b.released {
@@ -693,11 +756,9 @@
 			p.actions = append(p.actions, FreeResults{Target: c.target.Target, Handles: []string{r.Handle}})
 			return
 		}
-		s.results[ref.index] = result{handle: r.Handle, target: c.target, bytes: s.plan.ResultBytes, calls: s.results[ref.index].calls}
-		s.missing--
-		c.target.results[r.Handle] = s.plan.ResultBytes
-		c.target.used += s.plan.ResultBytes
+		p.keepResult(s, ref.index, c.target, r.Handle)
 		p.dequeue(ref)
+		p.tell(s.job, Done{Stage: s.index, Index: ref.index, Handle: r.Handle, Target: c.target.ID, Made: now})
 		return
 	}
 	if !live {
@@ -720,6 +781,18 @@
 	}
 }
 
+// tell adds a result to what is told of the job.
+func (p *Planner) tell(j *job, d Done) {
+	for i, a := range p.actions {
+		if progress, ok := a.(Progress); ok && progress.Job == j.ID {
+			progress.Done = append(progress.Done, d)
+			p.actions[i] = progress
+			return
+		}
+	}
+	p.actions = append(p.actions, Progress{Job: j.ID, Done: []Done{d}})
+}
+
 func (p *Planner) dequeue(ref pieceRef) {
 	pl := p.services[ref.stage.plan.Service]
 	for i, t := range pl.tasks {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -234,6 +234,7 @@
 	t.start("register", h.members.register)
 	t.start("world", h.updateWorld)
 	t.start("sweep", h.sweep)
+	t.start("reach", h.watchReach)
 	t.start("reload", h.watchSettings)
 	t.start("readiness", h.serveReadiness)
 	t.start("callers", func(ctx context.Context) error { return h.front.Serve(ctx, h.listeners.callers) })
--- a/internal/entry/world.go
+++ b/internal/entry/world.go
@@ -48,7 +48,7 @@
 	for _, t := range h.inventory.Targets("") {
 		s, ok := services[t.Service]
 		switch {
-		case !ok:
+		case !ok || t.Cut:
 		case s.Batch != nil:
 			targets = append(targets, dispatch.Target{
 				ID:         t.ID,
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,8 @@
 	LinkLost            = Event{504, "LinkLost", "the link to another daemon was lost and will be opened again"}
 	LeaderChanged       = Event{505, "LeaderChanged", "another daemon leads the dispatch of stages"}
 	MemberLearned       = Event{506, "MemberLearned", "another daemon, or a new start of one, was heard of"}
+	DataCentreCut       = Event{507, "DataCentreCut", "a data centre can't be reached from here"}
+	DataCentreReached   = Event{508, "DataCentreReached", "a data centre can be reached again"}
 	ConfigurationRaised = Event{600, "ConfigurationRaised", "a newer configuration is in force"}
 	ConfigurationStale  = Event{601, "ConfigurationStale", "an older configuration was refused"}
 	DataCentreOut       = Event{602, "DataCentreOut", "an order takes a data centre out"}
@@ -83,6 +85,7 @@
 		StageCallFailed, TargetDeclined, EngineAssigned, JobRejected, StageCallEnded,
 		TargetCold, TargetLeaving, TargetMalformed,
 		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected, LinkLost, LeaderChanged, MemberLearned,
+		DataCentreCut, DataCentreReached,
 		ConfigurationRaised, ConfigurationStale, DataCentreOut, DataCentreIn,
 		KeyClaimed, KeyForwarded, KeyUnverified, KeysHandedOver, KeysInherited,
 		DraftAccepted, DraftTakenOver, DraftFinished,
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -46,13 +46,15 @@
 	Cold bool
 	// Out says that its data centre is taken out.
 	Out bool
+	// Cut says that its data centre can't be reached from here.
+	Cut bool
 	// Suspect says that requests to it failed lately.
 	Suspect bool
 }
 
 // Usable reports whether new work may go to the target.
 func (t Target) Usable() bool {
-	return !t.Draining && !t.Out
+	return !t.Draining && !t.Out && !t.Cut
 }
 
 // Inventory is the state of all targets; the zero value with a clock works.
@@ -62,6 +64,7 @@
 	mu      sync.Mutex
 	targets map[string]*state
 	out     map[string]bool
+	cut     map[string]bool
 	version uint64
 }
 
@@ -159,15 +162,19 @@
 	}
 }
 
-// SetAllOut replaces the set of data centres that are taken out.
-func (inv *Inventory) SetAllOut(out map[string]bool) {
+// SetCut says whether a data centre can be reached, and reports whether that is new.
+func (inv *Inventory) SetCut(dataCentre string, cut bool) bool {
 	inv.mu.Lock()
 	defer inv.mu.Unlock()
-	inv.out = map[string]bool{}
-	for dataCentre, is := range out {
-		inv.out[dataCentre] = is
+	if inv.cut == nil {
+		inv.cut = map[string]bool{}
 	}
+	if inv.cut[dataCentre] == cut {
+		return false
+	}
+	inv.cut[dataCentre] = cut
 	inv.version++
+	return true
 }
 
 // Failed notes that a request to the target failed in a way that speaks against it.
@@ -241,6 +248,7 @@
 		Draining:   s.report.Draining,
 		Cold:       now.Before(s.coldUntil),
 		Out:        inv.out[s.report.DataCentre],
+		Cut:        inv.cut[s.report.DataCentre],
 		Suspect:    s.failures >= suspectAfter && now.Sub(s.failedAt) < suspectTime,
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -34,8 +34,9 @@
 	tickInterval = 20 * time.Millisecond
 	// checkInterval is the time between two looks at the requests that wait for a leader.
 	checkInterval = 50 * time.Millisecond
-	// ownWorkAfter is the time without a leader after which a daemon works for itself.
-	ownWorkAfter = 600 * time.Millisecond
+	// ownWorkAfter is the time without a leader after which a daemon works for itself; an
+	// election takes about half of it.
+	ownWorkAfter = 1200 * time.Millisecond
 	// keepAfterDeadline is how long a request is remembered past its deadline.
 	keepAfterDeadline = 2 * time.Second
 	// freeDelay gathers the results that are given up at a target into one call.
@@ -62,6 +63,8 @@
 	Priority   int
 	Worth      float64
 	Generation placement.Request
+	// Done are results that a former leader has had made.
+	Done []dispatch.Done
 }
 
 // Update is the answer to a submission: Assigned or Refused.
@@ -202,6 +205,7 @@
 		Deadline:   job.Deadline,
 		Priority:   job.Priority,
 		Worth:      job.Worth,
+		Done:       job.Done,
 	}))
 }
 
@@ -276,6 +280,10 @@
 			s.startCall(a)
 		case dispatch.FreeResults:
 			s.free(a)
+		case dispatch.Progress:
+			if o := s.owned[a.Job]; o != nil {
+				s.report(o.origin, a)
+			}
 		case dispatch.Finish:
 			if o := s.owned[a.Job]; o != nil {
 				o.inputs = a.Inputs
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -47,6 +47,9 @@
 		}
 		t.waiting, t.asked = true, s.Clock.Now()
 		t.excluded[failed] = true
+		if inputsGone {
+			t.job.Done = nil
+		}
 		if t.owner == s.Host && s.owned[t.job.ID] != nil {
 			s.again(t.job.ID, failed, inputsGone)
 			return
@@ -146,6 +149,24 @@
 	}
 }
 
+// report tells the daemon that holds the client of results that were made.
+func (s *Scheduler) report(origin string, p dispatch.Progress) {
+	if origin == s.Host {
+		s.progress(s.Host, p.Job, p.Done)
+		return
+	}
+	s.Mesh.Send(origin, &clusterpb.Envelope{Kind: &clusterpb.Envelope_Progress{Progress: &clusterpb.Progress{
+		ID: p.Job, Done: encodeDone(s.Clock.Now(), p.Done),
+	}}})
+}
+
+// progress keeps results for the case that another daemon must go on from them.
+func (s *Scheduler) progress(from, id string, done []dispatch.Done) {
+	if t := s.tickets[id]; t != nil && t.owner == from {
+		t.job.Done = append(t.job.Done, done...)
+	}
+}
+
 // deliver gives an update to the request that waits for it.
 func (s *Scheduler) deliver(from, id string, u Update) {
 	t := s.tickets[id]
@@ -153,6 +174,9 @@
 		return
 	}
 	t.waiting = false
+	if _, refused := u.(Refused); refused {
+		t.job.Done = nil
+	}
 	select {
 	case t.Updates <- u:
 	default:
@@ -171,6 +195,9 @@
 		s.post(func() { s.began(k.Began.GetID()) })
 	case *clusterpb.Envelope_Ended:
 		s.post(func() { s.end(k.Ended.GetID()) })
+	case *clusterpb.Envelope_Progress:
+		done := decodeDone(s.Clock.Now(), k.Progress.GetDone())
+		s.post(func() { s.progress(from, k.Progress.GetID(), done) })
 	case *clusterpb.Envelope_Assigned:
 		u := Assigned{Target: k.Assigned.GetTarget(), Address: k.Assigned.GetAddress(), Inputs: k.Assigned.GetInputs()}
 		s.post(func() { s.deliver(from, k.Assigned.GetID(), u) })
@@ -180,6 +207,30 @@
 	}
 }
 
+func encodeDone(now time.Time, done []dispatch.Done) []*clusterpb.Done {
+	list := make([]*clusterpb.Done, 0, len(done))
+	for _, d := range done {
+		list = append(list, &clusterpb.Done{
+			Stage: int32(d.Stage), Index: int32(d.Index), Handle: d.Handle, Target: d.Target, AgeMillis: now.Sub(d.Made).Milliseconds(),
+		})
+	}
+	return list
+}
+
+func decodeDone(now time.Time, done []*clusterpb.Done) []dispatch.Done {
+	list := make([]dispatch.Done, 0, len(done))
+	for _, d := range done {
+		list = append(list, dispatch.Done{
+			Stage:  int(d.GetStage()),
+			Index:  int(d.GetIndex()),
+			Handle: d.GetHandle(),
+			Target: d.GetTarget(),
+			Made:   now.Add(-time.Duration(d.GetAgeMillis()) * time.Millisecond),
+		})
+	}
+	return list
+}
+
 func encodeJob(now time.Time, j Job) *clusterpb.Submit {
 	m := &clusterpb.Submit{
 		ID:             j.ID,
@@ -206,6 +257,7 @@
 	for _, part := range j.Generation.Parts {
 		m.Generation.Parts = append(m.Generation.Parts, &clusterpb.Part{ID: part.ID, Tokens: int64(part.Tokens)})
 	}
+	m.Done = encodeDone(now, j.Done)
 	for id := range j.Generation.Exclude {
 		m.Generation.Excluded = append(m.Generation.Excluded, id)
 	}
@@ -244,6 +296,7 @@
 	for _, part := range g.GetParts() {
 		j.Generation.Parts = append(j.Generation.Parts, placement.Part{ID: part.GetID(), Tokens: int(part.GetTokens())})
 	}
+	j.Done = decodeDone(now, m.GetDone())
 	for _, id := range g.GetExcluded() {
 		j.Generation.Exclude[id] = true
 	}
