--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -22,6 +22,9 @@
 	for _, c := range p.calls {
 		p.hedge(now, c)
 	}
+	for _, pl := range p.services {
+		p.rejectLate(now, pl)
+	}
 	p.plan(now)
 	return p.take()
 }
@@ -61,7 +64,6 @@
 		if len(pl.tasks) == 0 {
 			continue
 		}
-		p.rejectLate(now, pl)
 		p.planPool(now, pl)
 	}
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -188,8 +188,7 @@
 
 // daemons is the number of daemons that are known to share a bound.
 func (h *Host) daemons() int {
-	_, known := h.mesh.Alive()
-	return known
+	return h.mesh.Size()
 }
 
 func (h *Host) version() int64 {
