--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,7 +19,10 @@
 package dispatch
 
 import (
+	"maps"
+	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/pkg/service"
@@ -67,6 +70,21 @@
 	Made time.Time
 }
 
+const (
+	// rankWorth is the worth of a request of each rank compared with the rank above it.
+	rankWorth = 0.6
+	// baseWorth is the part of a request's worth that doesn't depend on its size.
+	baseWorth = 0.3
+	// maxRelative bounds the size of a request compared with the mean of its route.
+	maxRelative = 5
+)
+
+// Worth weighs a request against others by its rank, 0 is the highest, and by its size
+// compared with the mean of its route.
+func Worth(priority int, relative float64) float64 {
+	return math.Pow(rankWorth, float64(max(priority, 0))) * (baseWorth + (1-baseWorth)*min(relative, maxRelative))
+}
+
 // Stage is one stage of a job.
 type Stage struct {
 	Service string
@@ -195,9 +213,27 @@
 	speedWeight = 0.5
 )
 
+// Order is how waiting work is ordered.
+type Order int
+
+// The orders; all but ByWorth are baselines for comparisons.
+const (
+	// ByWorth puts first what can be on time together.
+	ByWorth Order = iota
+	// ByDue goes by the time at which work must be done.
+	ByDue
+	// ByArrival goes by the time at which work was queued.
+	ByArrival
+)
+
 // Planner is the state of all stages; New makes one.
 type Planner struct {
+	// Order is how waiting work is ordered.
+	Order Order
+
 	services map[string]*pool
+	// pools are the services in the order of their names.
+	pools    []*pool
 	targets  map[string]*targetState
 	jobs     map[string]*job
 	calls    map[uint64]*call
@@ -321,6 +357,8 @@
 	if pl == nil {
 		pl = &pool{name: name, batch: service.Batch{Slots: 1, Size: 1}}
 		p.services[name] = pl
+		p.pools = append(p.pools, pl)
+		slices.SortFunc(p.pools, func(a, b *pool) int { return strings.Compare(a.name, b.name) })
 	}
 	return pl
 }
@@ -345,9 +383,9 @@
 		}
 		state.Target = t
 	}
-	for id, state := range p.targets {
+	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
 		if !present[id] {
-			p.lose(state)
+			p.lose(p.targets[id])
 		}
 	}
 	p.plan(now)
@@ -359,10 +397,11 @@
 	t.gone = true
 	delete(p.targets, t.ID)
 	t.pool.targets = slices.DeleteFunc(t.pool.targets, func(other *targetState) bool { return other == t })
-	for _, c := range t.running {
-		p.requeueCall(c)
+	for _, id := range slices.Sorted(maps.Keys(t.running)) {
+		p.requeueCall(t.running[id])
 	}
-	for _, j := range p.jobs {
+	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
+		j := p.jobs[id]
 		for _, s := range j.stages {
 			p.loseResults(s, t)
 		}
@@ -408,6 +447,7 @@
 		if r := &s.results[i]; r.target == t {
 			*r = result{calls: r.calls}
 			s.missing++
+			s.queued = false
 		}
 	}
 }
@@ -543,7 +583,7 @@
 		if !s.queued && s.missing > 0 && j.wanted(s) && p.inputsReady(j, s) {
 			s.queued = true
 			for i := range s.results {
-				if s.results[i].handle == "" {
+				if s.results[i].handle == "" && s.results[i].calls <= 0 {
 					p.enqueue(s, i)
 				}
 			}
@@ -566,7 +606,18 @@
 		return true
 	}
 	for _, other := range j.stages {
-		if other.missing > 0 && slices.Contains(other.plan.After, s.index) && j.wanted(other) {
+		if other.idle() && slices.Contains(other.plan.After, s.index) && j.wanted(other) {
+			return true
+		}
+	}
+	return false
+}
+
+// idle reports whether a piece of the stage is missing that no call makes. A call that
+// runs has fetched its inputs, or will say that they are gone.
+func (s *stageState) idle() bool {
+	for i := range s.results {
+		if s.results[i].handle == "" && s.results[i].calls <= 0 {
 			return true
 		}
 	}
@@ -738,9 +789,17 @@
 	if p.jobs[s.job.ID] != s.job || s.released || !s.queued {
 		return
 	}
-	if r := &s.results[ref.index]; r.handle == "" && r.calls <= 0 {
-		p.enqueue(s, ref.index)
+	if r := &s.results[ref.index]; r.handle != "" || r.calls > 0 {
+		return
+	}
+	if !p.inputsReady(s.job, s) {
+		p.unqueue(s)
+		s.queued = false
+		p.repair(s.job)
+		p.advance(s.job)
+		return
 	}
+	p.enqueue(s, ref.index)
 }
 
 func (p *Planner) pieceEnded(now time.Time, c *call, ref pieceRef, r Result) {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -24,12 +24,16 @@
 // them would be late, the one among those before it that is worth least for its work is
 // put behind.
 func (p *Planner) order(now time.Time, pl *pool) {
+	if p.Order == ByArrival {
+		slices.SortStableFunc(pl.tasks, func(a, b *task) int { return a.since.Compare(b.since) })
+		return
+	}
 	onTime := make([]*task, 0, len(pl.tasks))
 	var behind []*task
 	for _, t := range pl.tasks {
 		t.due = t.stage.job.Aim.Add(-p.after(t.stage))
 		t.density = p.density(pl, t)
-		t.late = now.Add(p.shortest(t.stage)).After(t.due)
+		t.late = p.Order == ByWorth && now.Add(p.shortest(t.stage)).After(t.due)
 		if t.late {
 			behind = append(behind, t)
 			continue
@@ -38,6 +42,9 @@
 	}
 	slices.SortStableFunc(onTime, func(a, b *task) int { return a.due.Compare(b.due) })
 	for range maxVictims {
+		if p.Order == ByDue {
+			break
+		}
 		n := pl.firstLate(now, onTime)
 		if n < 0 {
 			break
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -19,10 +20,10 @@
 // is work.
 func (p *Planner) Tick(now time.Time) []Action {
 	p.now = now
-	for _, c := range p.calls {
-		p.hedge(now, c)
+	for _, id := range slices.Sorted(maps.Keys(p.calls)) {
+		p.hedge(now, p.calls[id])
 	}
-	for _, pl := range p.services {
+	for _, pl := range p.pools {
 		p.rejectLate(now, pl)
 	}
 	p.plan(now)
@@ -60,7 +61,7 @@
 
 // plan starts calls while there are free targets and waiting pieces.
 func (p *Planner) plan(now time.Time) {
-	for _, pl := range p.services {
+	for _, pl := range p.pools {
 		if len(pl.tasks) == 0 {
 			continue
 		}
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/dispatch"
@@ -106,26 +105,14 @@
 	return job, nil
 }
 
-// rankWorth is the worth of a request of each rank below the highest, compared with the
-// rank above it.
-const rankWorth = 0.6
-
-// worth weighs the request against others by its rank and its size compared with the mean
-// of its route.
+// worth weighs the request against others by its rank and its size.
 func (q *run) worth() float64 {
 	size := float64(q.call.PromptTokens + outputWeight*q.call.OutputTokens)
-	relative := q.f.sizes.relative(q.route.Name, size)
-	return math.Pow(rankWorth, float64(max(q.priority(), 0))) * (baseWorth + (1-baseWorth)*min(relative, maxRelative))
+	return dispatch.Worth(q.priority(), q.f.sizes.relative(q.route.Name, size))
 }
 
-const (
-	// outputWeight is the size of an output token in prompt tokens.
-	outputWeight = 10
-	// baseWorth is the part of a request's worth that doesn't depend on its size.
-	baseWorth = 0.3
-	// maxRelative bounds the size of a request compared with the mean of its route.
-	maxRelative = 5
-)
+// outputWeight is the size of an output token in prompt tokens.
+const outputWeight = 10
 
 // priority is the rank of the account if it has one, and else that of the route.
 func (q *run) priority() int {
