refactor(platform): one client of the store, the stand-in speaks the published protocol

Cause: the product had a client and a stand-in of its own making beside the adapter's. The product's table, objects and host list are now platform.Product over the one store client; the stand-in has transactions, ranges, feeds with waits, 410 and objects. Conclusion: one client; the older product's proofs run over it.

--- a/cmd/demo/world.go
+++ b/cmd/demo/world.go
@@ -65,7 +65,9 @@
 			return nil, err
 		}
 	}
-	stand.SetHosts(hosts)
+	if err := stand.SetHosts(hosts); err != nil {
+		return nil, err
+	}
 	for _, host := range hosts {
 		if err := w.startDaemon(ctx, host); err != nil {
 			return nil, err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,10 +30,10 @@
 	"github.com/sequoiapick/sequoiapick/internal/membership"
 	"github.com/sequoiapick/sequoiapick/internal/metric"
 	"github.com/sequoiapick/sequoiapick/internal/peer"
-	"github.com/sequoiapick/sequoiapick/internal/platform"
 	"github.com/sequoiapick/sequoiapick/internal/registry"
 	"github.com/sequoiapick/sequoiapick/internal/run"
 	"github.com/sequoiapick/sequoiapick/internal/settings"
+	store "github.com/sequoiapick/sequoiapick/platform"
 )
 
 // Daemon is one process of the system.
@@ -45,7 +45,7 @@
 	incarnation string
 	log         event.Log
 	metrics     *metric.Set
-	platform    *platform.Client
+	platform    *store.Product
 	registry    *registry.Registry
 	fleet       *fleet.Fleet
 	links       *link.Pool
@@ -104,11 +104,11 @@
 	d.heirs = map[string]heir{}
 	d.notices = map[string]bool{}
 	d.moved = make(chan struct{}, 1)
-	d.platform = &platform.Client{
+	d.platform = &store.Product{Store: &store.Store{
 		Address:     d.Settings.Platform.Address,
-		Host:        d.Settings.Host,
+		Caller:      d.Settings.Host,
 		CallTimeout: d.Settings.Platform.Timeout,
-	}
+	}}
 	d.registry = &registry.Registry{Table: d.platform, Objects: d.platform, Log: d.log, Raised: d.changed}
 	d.fleet = &fleet.Fleet{Clock: d.Clock, Host: d.Settings.Host, DataCentre: d.Settings.DataCentre}
 	d.links = &link.Pool{LocalAddress: hostOf(d.Settings.Address.Peer)}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -141,7 +141,7 @@
 	s := h.settings
 	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryBytes) * memoryShare))
 	h.incarnation = strings.ReplaceAll(uuid.NewString(), "-", "")[:12]
-	h.store = &platform.Store{Address: s.Store.Address, LocalAddress: s.IP}
+	h.store = &platform.Store{Address: s.Store.Address, LocalAddress: s.IP, Caller: s.Host}
 	h.inventory = &inventory.Inventory{Clock: h.Clock}
 	h.pool = &exchange.Pool{Clock: h.Clock, LocalAddress: s.IP}
 	h.mesh = &cluster.Mesh{
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,13 +1,13 @@
-// Package platform is the client of the platform that the system runs on: a
-// transactional table, an object store and the list of live and leaving hosts.
+// Package platform is what the product needs of the platform that it runs on: a
+// transactional table, an object store and the list of live and leaving hosts. The one
+// implementation is in the platform folder at the root.
 //
 // A failed commit may have taken effect, unless it failed with kind Conflict.
 //
 // # Usage
 //
-//	client := &platform.Client{Address: "10.0.0.1:7000", Host: "entry-1"}
-//	row, found, err := client.Get(ctx, "config/head")
-//	revision, err := client.Commit(ctx, platform.Transaction{...})
+//	row, found, err := table.Get(ctx, "config/head")
+//	revision, err := table.Commit(ctx, platform.Transaction{...})
 package platform
 
 import "context"
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -1,6 +1,7 @@
-// Package platform is a small stand-in of the platform for tests and demonstrations:
-// a table, an object store, a weight store and a host list, all in memory, whose
-// faults can be set from outside.
+// Package platform is a small stand-in of the platform's metadata store for tests and
+// demonstrations: rows in tables with transactions under conditions, ranges and feeds,
+// and objects, all in memory, over the published protocol. Its faults can be set from
+// outside.
 //
 // # Usage
 //
@@ -12,7 +13,6 @@
 	"context"
 	"encoding/json"
 	"net"
-	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -27,18 +27,28 @@
 	FaultPath    = "/control/fault"
 	SetHostsPath = "/control/hosts"
 	CountPath    = "/control/count"
+	PutPath      = "/control/put"
+	RemovePath   = "/control/remove"
+	CompactPath  = "/control/compact"
 )
 
 // MaxBodyBytes bounds one call.
 const MaxBodyBytes = 64 << 20
 
+// hostsTable holds the host list.
+const hostsTable = "hosts"
+
 // Fault is what goes wrong until another fault is set.
 type Fault struct {
 	// Down refuses every call.
 	Down bool
+	// Silent answers no call; its connections stay open.
+	Silent bool
+	// Busy answers every call with 429.
+	Busy bool
 	// DelayMillis holds every call back.
 	DelayMillis int
-	// LoseAnswers is the number of commits that are applied without an answer.
+	// LoseAnswers is the number of transactions that are applied without an answer.
 	LoseAnswers int
 	// CutHosts lists prefixes of the hosts whose calls are refused.
 	CutHosts []string
@@ -56,18 +66,45 @@
 	Objects int
 }
 
+// Row is one row as it is set from outside.
+type Row struct {
+	Table string
+	Key   string
+	Value []byte
+}
+
 // Server is the stand-in; the zero value is empty and healthy.
 type Server struct {
-	mu       sync.Mutex
-	rows     map[string]platform.Row
-	stale    map[string]platform.Row
-	objects  map[string][]byte
-	hosts    []platform.Host
-	revision uint64
-	fault    Fault
-	count    Count
+	mu      sync.Mutex
+	rows    rows
+	stale   rows
+	objects map[string][]byte
+	version int64
+	// history holds the changed rows in order; feeds reach back to version since.
+	history []row
+	since   int64
+	changed chan struct{}
+	fault   Fault
+	count   Count
+}
+
+// rows holds the rows by table, part and key.
+type rows map[address]row
+
+type address struct{ table, part, key string }
+
+// row is one row on the wire.
+type row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Ver     int64  `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
 }
 
+func (r row) address() address { return address{r.Table, r.Part, r.Key} }
+
 // Serve answers calls until the context ends.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	server := &fasthttp.Server{Handler: s.handle, MaxRequestBodySize: MaxBodyBytes, NoDefaultServerHeader: true}
@@ -77,10 +114,48 @@
 }
 
 // SetHosts replaces the host list.
-func (s *Server) SetHosts(hosts []platform.Host) {
+func (s *Server) SetHosts(hosts []platform.Host) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hosts = hosts
+	listed := map[string]bool{}
+	var puts []row
+	for _, h := range hosts {
+		value, err := json.Marshal(h)
+		if err != nil {
+			return err
+		}
+		listed[h.Name] = true
+		puts = append(puts, row{Table: hostsTable, Key: h.Name, Value: value})
+	}
+	for at := range s.rows {
+		if at.table == hostsTable && !listed[at.key] {
+			puts = append(puts, row{Table: hostsTable, Key: at.key, Deleted: true})
+		}
+	}
+	s.write(puts)
+	return nil
+}
+
+// Put sets a row.
+func (s *Server) Put(r Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write([]row{{Table: r.Table, Key: r.Key, Value: r.Value}})
+}
+
+// Remove removes a row.
+func (s *Server) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write([]row{{Table: table, Key: key, Deleted: true}})
+}
+
+// Compact forgets the history.
+func (s *Server) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.since = nil, s.version
+	s.wake()
 }
 
 // SetFault replaces the fault.
@@ -88,9 +163,36 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = fault
-	s.stale = map[string]platform.Row{}
-	for k, r := range s.rows {
-		s.stale[k] = r
+	s.stale = rows{}
+	for at, r := range s.rows {
+		s.stale[at] = r
+	}
+}
+
+// write applies changes under one new version.
+func (s *Server) write(changes []row) {
+	if s.rows == nil {
+		s.rows = rows{}
+	}
+	s.version++
+	for _, r := range changes {
+		r.Ver = s.version
+		if r.Deleted {
+			r.Value = nil
+			delete(s.rows, r.address())
+		} else {
+			s.rows[r.address()] = r
+		}
+		s.history = append(s.history, r)
+	}
+	s.wake()
+}
+
+// wake ends the waits of feeds.
+func (s *Server) wake() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
 	}
 }
 
@@ -104,52 +206,58 @@
 		return
 	}
 	switch {
-	case path == platform.CommitPath:
-		s.commit(c)
-	case path == platform.GetPath:
+	case path == "/v1/rows-tx":
+		s.transact(c)
+	case path == "/v1/rows-get":
 		s.get(c)
-	case path == platform.ScanPath:
-		s.scan(c)
-	case path == platform.HostsPath:
-		s.listHosts(c)
-	case strings.HasPrefix(path, platform.ObjectPath):
-		s.object(c, strings.TrimPrefix(path, platform.ObjectPath))
+	case path == "/v1/rows-feed":
+		s.feed(c)
+	case strings.HasPrefix(path, "/v1/blob-"):
+		s.object(c, string(c.URI().PathOriginal()))
 	default:
 		c.SetStatusCode(fasthttp.StatusNotFound)
 	}
 }
 
-func (s *Server) listHosts(c *fasthttp.RequestCtx) {
-	centre := string(c.QueryArgs().Peek(platform.DataCentreParameter))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var hosts []platform.Host
-	for _, h := range s.hosts {
-		if h.DataCentre == centre {
-			hosts = append(hosts, h)
-		}
-	}
-	reply(c, platform.HostsReply{Hosts: hosts})
-}
-
 func (s *Server) control(c *fasthttp.RequestCtx, path string) {
+	var err error
 	switch path {
 	case FaultPath:
 		var f Fault
-		_ = json.Unmarshal(c.PostBody(), &f)
-		s.SetFault(f)
+		if err = json.Unmarshal(c.PostBody(), &f); err == nil {
+			s.SetFault(f)
+		}
 	case SetHostsPath:
 		var hosts []platform.Host
-		_ = json.Unmarshal(c.PostBody(), &hosts)
-		s.SetHosts(hosts)
+		if err = json.Unmarshal(c.PostBody(), &hosts); err == nil {
+			err = s.SetHosts(hosts)
+		}
+	case PutPath:
+		var r Row
+		if err = json.Unmarshal(c.PostBody(), &r); err == nil {
+			s.Put(r)
+		}
+	case RemovePath:
+		var r Row
+		if err = json.Unmarshal(c.PostBody(), &r); err == nil {
+			s.Remove(r.Table, r.Key)
+		}
+	case CompactPath:
+		s.Compact()
 	case CountPath:
 		s.mu.Lock()
 		count := s.count
 		s.mu.Unlock()
 		reply(c, count)
 	}
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusBadRequest)
+	}
 }
 
+// silence is how long a call waits while the store is silent.
+const silence = time.Minute
+
 func (s *Server) refuse(c *fasthttp.RequestCtx) bool {
 	s.mu.Lock()
 	fault := s.fault
@@ -157,69 +265,22 @@
 	if fault.DelayMillis > 0 {
 		time.Sleep(time.Duration(fault.DelayMillis) * time.Millisecond)
 	}
-	down := fault.Down || listed(c, fault.CutHosts)
-	if down {
-		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
-	}
-	return down
-}
-
-func (s *Server) commit(c *fasthttp.RequestCtx) {
-	var tx platform.Transaction
-	if err := json.Unmarshal(c.PostBody(), &tx); err != nil {
-		c.SetStatusCode(fasthttp.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	revision, ok := s.apply(tx)
-	lose := ok && s.fault.LoseAnswers > 0
-	if lose {
-		s.fault.LoseAnswers--
-	}
-	s.mu.Unlock()
 	switch {
-	case lose:
-		_ = c.Conn().Close()
-	case !ok:
-		c.SetStatusCode(fasthttp.StatusConflict)
-	default:
-		reply(c, platform.CommitReply{Revision: revision})
-	}
-}
-
-func (s *Server) apply(tx platform.Transaction) (uint64, bool) {
-	s.count.Commits++
-	for _, cond := range tx.Conditions {
-		if s.rows[cond.Key].Revision != cond.Revision {
-			return 0, false
-		}
-	}
-	if s.rows == nil {
-		s.rows = map[string]platform.Row{}
-	}
-	s.revision++
-	for _, w := range tx.Writes {
-		s.count.Writes++
-		if w.Delete {
-			delete(s.rows, w.Key)
-			continue
-		}
-		s.rows[w.Key] = platform.Row{Key: w.Key, Revision: s.revision, Value: w.Value}
-	}
-	return s.revision, true
-}
-
-// readable returns the table as the caller sees it.
-func (s *Server) readable(c *fasthttp.RequestCtx) map[string]platform.Row {
-	if s.fault.StaleReads || listed(c, s.fault.StaleHosts) {
-		return s.stale
+	case fault.Silent:
+		time.Sleep(silence)
+	case fault.Busy:
+		c.SetStatusCode(fasthttp.StatusTooManyRequests)
+		return true
+	case fault.Down || listed(c, fault.CutHosts):
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return true
 	}
-	return s.rows
+	return false
 }
 
-// listed reports whether the caller's host has one of the prefixes.
+// listed reports whether the calling host, which its agent names, has one of the prefixes.
 func listed(c *fasthttp.RequestCtx, prefixes []string) bool {
-	host := string(c.Request.Header.Peek(platform.HostHeader))
+	_, host, _ := strings.Cut(string(c.UserAgent()), "/")
 	for _, prefix := range prefixes {
 		if strings.HasPrefix(host, prefix) {
 			return true
@@ -228,59 +289,12 @@
 	return false
 }
 
-func (s *Server) get(c *fasthttp.RequestCtx) {
-	var r platform.GetRequest
-	_ = json.Unmarshal(c.PostBody(), &r)
-	s.mu.Lock()
-	s.count.Reads++
-	row, ok := s.readable(c)[r.Key]
-	s.mu.Unlock()
-	reply(c, platform.GetReply{Row: row, Found: ok})
-}
-
-func (s *Server) scan(c *fasthttp.RequestCtx) {
-	var r platform.ScanRequest
-	_ = json.Unmarshal(c.PostBody(), &r)
-	s.mu.Lock()
-	s.count.Reads++
-	var rows []platform.Row
-	for k, row := range s.readable(c) {
-		if strings.HasPrefix(k, r.Prefix) && k > r.After {
-			rows = append(rows, row)
-		}
-	}
-	s.mu.Unlock()
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	if len(rows) > r.Limit {
-		rows = rows[:r.Limit]
-	}
-	reply(c, platform.ScanReply{Rows: rows})
-}
-
-func (s *Server) object(c *fasthttp.RequestCtx, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.count.Objects++
-	if s.objects == nil {
-		s.objects = map[string][]byte{}
-	}
-	if c.IsPut() {
-		s.objects[key] = append([]byte(nil), c.PostBody()...)
-		return
-	}
-	value, ok := s.objects[key]
-	if !ok {
-		c.SetStatusCode(fasthttp.StatusNotFound)
-		return
-	}
-	c.SetBody(value)
-}
-
 func reply(c *fasthttp.RequestCtx, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
 		c.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
+	c.SetContentType("application/json")
 	c.SetBody(body)
 }
