feat(dispatch): hold a task for a target near its inputs while it has the time

A task now waits for a target in the data centre of its inputs, or of the pieces sent before, if it will be on time there; late ones go anywhere. Nothing, frees included, is sent to a closed target. Ruled out: choosing among the free targets only, mostly one is free.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -281,7 +281,9 @@
 	results []result
 	// missing is the number of pieces without a result.
 	missing int
-	queued  bool
+	// sentTo is the data centre to which pieces were sent last.
+	sentTo string
+	queued bool
 	// released says that the results were given up since nobody needs them any more.
 	released bool
 }
@@ -565,7 +567,7 @@
 		r.target.forget(r.handle)
 	}
 	for _, t := range order {
-		if !t.gone {
+		if !t.gone && !t.Closed { // nothing more is sent to a closed target; its results vanish by themselves
 			p.actions = append(p.actions, FreeResults{Target: t.Target, Handles: byTarget[t]})
 		}
 	}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -144,15 +144,7 @@
 		if t.Closed {
 			continue
 		}
-		s := slot{at: now, slowness: max(t.slowness, 1)}
-		for _, c := range t.running {
-			if end := c.started.Add(c.expected); end.After(s.at) {
-				s.at = end
-			}
-		}
-		if t.pausedUntil.After(s.at) {
-			s.at = t.pausedUntil
-		}
+		s := slot{at: t.freeAt(now), slowness: max(t.slowness, 1)}
 		slots = append(slots, s)
 	}
 	return slots
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -105,14 +105,26 @@
 		return
 	}
 	p.order(now, pl)
-	for len(free) > 0 && len(pl.tasks) > 0 {
-		i := pl.choose(free, pl.tasks[0])
-		t := free[i]
-		free = slices.Delete(free, i, i+1)
-		if !p.startCall(now, pl, t, free) && len(free) == 0 {
-			return
+	places := newPlaces(now, pl)
+	for i := 0; i < len(pl.tasks) && len(free) > 0; {
+		t := pl.tasks[i]
+		if len(t.waiting) == 0 {
+			i++
+			continue
+		}
+		n := pl.choose(free, t, places)
+		if n < 0 {
+			places.hold(t)
+			i++
+			continue
+		}
+		chosen := free[n]
+		free = slices.Delete(free, n, n+1)
+		if !p.startCall(now, pl, chosen, i, places) {
+			i++
 		}
 	}
+	pl.tasks = slices.DeleteFunc(pl.tasks, func(t *task) bool { return len(t.waiting) == 0 })
 }
 
 func (pl *pool) freeTargets(now time.Time) []*targetState {
@@ -126,10 +138,14 @@
 }
 
 // choose returns the index of the free target for the task: a fast one, near the inputs.
-func (pl *pool) choose(free []*targetState, t *task) int {
-	near := t.dataCentre()
-	best, bestScore := 0, -1.0
+// It is negative if the task is better held for a target near its inputs.
+func (pl *pool) choose(free []*targetState, t *task, places *places) int {
+	near, bytes := t.near()
+	best, bestScore := -1, -1.0
 	for i, f := range free {
+		if !places.takes(f, t, near, bytes) {
+			continue
+		}
 		score := 0.0
 		if f.slowness < tooSlow {
 			score += 4
@@ -147,42 +163,23 @@
 	return best
 }
 
-// dataCentre is where most of the inputs of the task are, or else the job's.
-func (t *task) dataCentre() string {
-	bytes := map[string]int64{}
-	best, most := t.stage.job.DataCentre, int64(0)
-	for _, before := range t.stage.plan.After {
-		for _, r := range t.stage.job.stages[before].results {
-			if r.target == nil {
-				continue
-			}
-			bytes[r.target.DataCentre] += r.bytes
-			if n := bytes[r.target.DataCentre]; n > most {
-				best, most = r.target.DataCentre, n
-			}
-		}
-	}
-	return best
-}
-
-// startCall fills a call for the target in the order of the tasks and reports whether
-// anything was sent. Tasks whose inputs are where another free target is are left to it.
-func (p *Planner) startCall(now time.Time, pl *pool, t *targetState, others []*targetState) bool {
+// startCall fills a call for the target with the tasks from the first one on, and reports
+// whether anything was sent.
+func (p *Planner) startCall(now time.Time, pl *pool, t *targetState, first int, places *places) bool {
 	c := &call{target: t, started: now, expected: pl.batch.CallTime}
 	var pieces []Piece
-	for i, tk := range pl.tasks {
+	for _, tk := range pl.tasks[first:] {
 		if len(c.pieces) >= pl.batch.Size {
 			break
 		}
-		if i > 0 && tk.prefers(t, others) {
-			continue
+		near, bytes := tk.near()
+		if places.takes(t, tk, near, bytes) {
+			p.fill(now, pl, c, tk, &pieces)
 		}
-		p.fill(now, pl, c, tk, &pieces)
 	}
 	if len(c.pieces) == 0 {
 		return false
 	}
-	pl.tasks = slices.DeleteFunc(pl.tasks, func(tk *task) bool { return len(tk.waiting) == 0 })
 	c.expected = time.Duration(float64(c.expected) * max(t.slowness, 1))
 	p.nextCall++
 	c.id = p.nextCall
@@ -193,20 +190,6 @@
 	return true
 }
 
-// prefers reports whether the task is better given to one of the other free targets.
-func (t *task) prefers(this *targetState, others []*targetState) bool {
-	near := t.dataCentre()
-	if this.DataCentre == near {
-		return false
-	}
-	for _, o := range others {
-		if o.DataCentre == near && o.slowness < tooSlow {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *Planner) fill(now time.Time, pl *pool, c *call, tk *task, pieces *[]Piece) {
 	s := tk.stage
 	inputs, ok := s.inputs()
@@ -229,6 +212,7 @@
 		c.bytes += s.plan.ResultBytes
 		c.expected += pl.batch.PieceTime
 		s.results[index].calls++
+		s.sentTo = c.target.DataCentre
 		piece := Piece{Job: s.job.ID, Stage: s.index, Index: index, Left: s.job.Deadline.Sub(now)}
 		if len(s.plan.After) == 0 {
 			piece.Key = s.job.Key
--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -139,6 +139,7 @@
 				work = 1
 			}
 			took += time.Duration(work * float64(t.batch.PieceTime))
+			w.countAcross(t, piece.Inputs)
 			worked = true
 		}
 	}
@@ -180,6 +181,17 @@
 	delete(t.results, handle)
 }
 
+// countAcross counts the inputs that a target fetches from other data centres.
+func (w *world) countAcross(t *target, inputs []string) {
+	for _, handle := range inputs {
+		for _, from := range w.targets {
+			if bytes, ok := from.results[handle]; ok && from.DataCentre != t.DataCentre {
+				w.report.BytesAcross += bytes
+			}
+		}
+	}
+}
+
 func (w *world) inputsThere(p dispatch.Piece) bool {
 	for _, handle := range p.Inputs {
 		if !w.resultThere(handle) {
