--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -146,9 +146,11 @@
 	boards    []*placement.Board
 	targets   []*target
 	byID      map[string]*target
-	engines   map[string]*engine
-	requests  map[string]*request
-	report    *Report
+	// byHandle is the target that made each result.
+	byHandle map[string]*target
+	engines  map[string]*engine
+	requests map[string]*request
+	report   *Report
 }
 
 // timed is something that happens at a time.
@@ -207,6 +209,7 @@
 		site:     site,
 		random:   rand.New(rand.NewPCG(seed, 2)),
 		byID:     map[string]*target{},
+		byHandle: map[string]*target{},
 		engines:  map[string]*engine{},
 		requests: map[string]*request{},
 		report:   newReport(site, policy),
--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -133,6 +133,7 @@
 			handle := fmt.Sprintf("%s/%d", t.ID, t.made)
 			results[i].Handle = handle
 			t.results[handle] = bytes
+			w.byHandle[handle] = t
 			t.used += bytes
 			work := r.class.Stages[piece.Stage].Work
 			if work == 0 {
@@ -184,10 +185,8 @@
 // countAcross counts the inputs that a target fetches from other data centres.
 func (w *world) countAcross(t *target, inputs []string) {
 	for _, handle := range inputs {
-		for _, from := range w.targets {
-			if bytes, ok := from.results[handle]; ok && from.DataCentre != t.DataCentre {
-				w.report.BytesAcross += bytes
-			}
+		if from := w.byHandle[handle]; from != nil && from.DataCentre != t.DataCentre {
+			w.report.BytesAcross += from.results[handle]
 		}
 	}
 }
@@ -202,12 +201,12 @@
 }
 
 func (w *world) resultThere(handle string) bool {
-	for _, t := range w.targets {
-		if _, ok := t.results[handle]; ok {
-			return true
-		}
+	t := w.byHandle[handle]
+	if t == nil {
+		return false
 	}
-	return false
+	_, ok := t.results[handle]
+	return ok
 }
 
 func (w *world) free(a dispatch.FreeResults) {
