--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -11,10 +11,6 @@
 	// sunkBonus raises the density of a job whose earlier stages are done, since their work
 	// is lost with it.
 	sunkBonus = 1.0
-	// planMargin is the time by which tasks must be early in the calls that are laid out, for
-	// those that come in between and for calls that take longer. Of 30, 60, 100 and 150 ms
-	// it earned most in the emulated bursts.
-	planMargin = 100 * time.Millisecond
 	// maxVictims bounds the tasks that one look at a queue puts behind the others.
 	maxVictims = 64
 )
@@ -133,7 +129,7 @@
 		}
 		slots[first].at = slots[first].at.Add(time.Duration(float64(took) * slots[first].slowness))
 		for i := begin; i < next; i++ {
-			if slots[first].at.Add(planMargin).After(tasks[i].due) {
+			if slots[first].at.After(tasks[i].due) {
 				return i
 			}
 		}
