feat(exchange): share a target's connections among the daemons

Each daemon now has its part of the connections, idle ones make place for new ones. Ruled out: reuse of idle connections by unsafe requests, silence would lose them.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -25,17 +25,20 @@
 // TestSharedDispatchBeatsItsBaselines replays each site under each policy.
 func TestSharedDispatchBeatsItsBaselines(t *testing.T) {
 	for _, site := range emulator.Sites() {
-		shared := net(site, emulator.Shared)
-		for _, policy := range emulator.Policies() {
-			if policy == emulator.Shared {
-				continue
-			}
-			other := net(site, policy)
-			t.Logf("%s: Shared %.3f, %s %.3f", site.Name, shared, policy, other)
-			if shared < other-oneInAThousand {
-				t.Errorf("%s: Shared earns %.3f, %s earns %.3f", site.Name, shared, policy, other)
+		t.Run(site.Name, func(t *testing.T) {
+			t.Parallel()
+			shared := net(site, emulator.Shared)
+			for _, policy := range emulator.Policies() {
+				if policy == emulator.Shared {
+					continue
+				}
+				other := net(site, policy)
+				t.Logf("Shared %.3f, %s %.3f", shared, policy, other)
+				if shared < other-oneInAThousand {
+					t.Errorf("Shared earns %.3f, %s earns %.3f", shared, policy, other)
+				}
 			}
-		}
+		})
 	}
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	conn, err := pool.Open(ctx, "10.0.0.7:8080", exchange.Fresh)
+//	conn, err := pool.Open(ctx, "10.0.0.7:8080", exchange.Use{Reuse: exchange.Fresh})
 //	answer, err := conn.Do(ctx, exchange.Request{Head: head, Body: body, AttemptID: id})
 //	_, err = io.Copy(w, answer.Body) // io.ErrUnexpectedEOF if it isn't whole
 //	pool.Release(conn)
@@ -133,6 +133,8 @@
 type Conn struct {
 	Address string
 
+	// share is the number of connections to the address that were asked for.
+	share  int
 	net    net.Conn
 	reader *bufio.Reader
 	reused bool
@@ -156,16 +158,28 @@
 	// Opened is called for each new connection, if set.
 	Opened func(address string)
 
-	mu   sync.Mutex
-	idle map[string][]*Conn
+	mu        sync.Mutex
+	addresses map[string]*connections
+}
+
+// connections are those to one address.
+type connections struct {
+	idle []*Conn
+	busy int
+}
+
+// Use says how a connection may be used.
+type Use struct {
+	Reuse Reuse
+	// Share is the number of connections that this daemon should have to the address at a
+	// time, idle ones included; 0 means no bound.
+	Share int
 }
 
 // Open returns a connection to the address. Its error proves that nothing was sent.
-func (p *Pool) Open(ctx context.Context, address string, reuse Reuse) (*Conn, error) {
-	if reuse == Pooled {
-		if conn := p.take(address); conn != nil {
-			return conn, nil
-		}
+func (p *Pool) Open(ctx context.Context, address string, use Use) (*Conn, error) {
+	if conn := p.take(address, use); conn != nil {
+		return conn, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
@@ -178,9 +192,26 @@
 	}
 	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.ended(address)
 		return nil, &SendError{NotSent: true, Err: problem.New(problem.Unavailable, "dial %s: %v", address, err)}
 	}
-	return &Conn{Address: address, net: c, reader: bufio.NewReaderSize(c, headBytes)}, nil
+	return &Conn{Address: address, net: c, reader: bufio.NewReaderSize(c, headBytes), share: use.Share}, nil
+}
+
+// ended counts a connection that is no longer in use.
+func (p *Pool) ended(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.end(address)
+}
+
+func (p *Pool) end(address string) {
+	if a := p.addresses[address]; a != nil {
+		a.busy--
+		if a.busy <= 0 && len(a.idle) == 0 {
+			delete(p.addresses, address)
+		}
+	}
 }
 
 // control makes the system notice a connection that has gone silent.
@@ -198,22 +229,35 @@
 	return errors.Join(err, failed)
 }
 
-func (p *Pool) take(address string) *Conn {
+// take counts a connection as in use and returns an idle one if it may be used. If there
+// is none, idle ones make place for a new one inside the share.
+func (p *Pool) take(address string, use Use) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.addresses == nil {
+		p.addresses = map[string]*connections{}
+	}
+	a := p.addresses[address]
+	if a == nil {
+		a = &connections{}
+		p.addresses[address] = a
+	}
+	a.busy++
 	now := p.Clock.Now()
-	conns := p.idle[address]
-	for len(conns) > 0 {
-		conn := conns[len(conns)-1]
-		conns = conns[:len(conns)-1]
-		p.idle[address] = conns
+	for use.Reuse == Pooled && len(a.idle) > 0 {
+		conn := a.idle[len(a.idle)-1]
+		a.idle = a.idle[:len(a.idle)-1]
 		if now.Before(conn.idleTill) && conn.quiet() {
 			conn.reused = true
+			conn.share = use.Share
 			return conn
 		}
 		_ = conn.net.Close()
 	}
-	delete(p.idle, address)
+	for use.Share > 0 && len(a.idle) > 0 && a.busy+len(a.idle) > use.Share {
+		_ = a.idle[0].net.Close()
+		a.idle = a.idle[1:]
+	}
 	return nil
 }
 
@@ -240,7 +284,7 @@
 // Release pools the connection if its last exchange was whole, and closes it otherwise.
 func (p *Pool) Release(conn *Conn) {
 	if conn.stop != nil && !conn.stop() {
-		_ = conn.net.Close()
+		p.drop(conn)
 		return
 	}
 	conn.stop = nil
@@ -266,23 +310,29 @@
 	p.keep(conn)
 }
 
+// drop closes a connection that was in use.
+func (p *Pool) drop(conn *Conn) {
+	_ = conn.net.Close()
+	p.ended(conn.Address)
+}
+
 func (p *Pool) keep(conn *Conn) {
 	if !conn.whole || conn.reader.Buffered() > 0 {
-		_ = conn.net.Close()
+		p.drop(conn)
 		return
 	}
 	_ = conn.net.SetDeadline(time.Time{})
 	conn.idleTill = p.Clock.Now().Add(conn.idleFor)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[conn.Address]) >= MaxIdlePerTarget {
+	a := p.addresses[conn.Address]
+	if len(a.idle) >= MaxIdlePerTarget || conn.share > 0 && a.busy+len(a.idle) > conn.share {
 		_ = conn.net.Close()
+		p.end(conn.Address)
 		return
 	}
-	if p.idle == nil {
-		p.idle = map[string][]*Conn{}
-	}
-	p.idle[conn.Address] = append(p.idle[conn.Address], conn)
+	a.busy--
+	a.idle = append(a.idle, conn)
 }
 
 // Discard closes the connection.
@@ -290,17 +340,7 @@
 	if conn.stop != nil {
 		conn.stop()
 	}
-	_ = conn.net.Close()
-}
-
-// Retire closes every idle connection to the address.
-func (p *Pool) Retire(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, conn := range p.idle[address] {
-		_ = conn.net.Close()
-	}
-	delete(p.idle, address)
+	p.drop(conn)
 }
 
 // Sweep closes connections that were idle for too long.
@@ -308,18 +348,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	for address, conns := range p.idle {
-		kept := conns[:0]
-		for _, conn := range conns {
+	for address, a := range p.addresses {
+		kept := a.idle[:0]
+		for _, conn := range a.idle {
 			if now.Before(conn.idleTill) {
 				kept = append(kept, conn)
 				continue
 			}
 			_ = conn.net.Close()
 		}
-		p.idle[address] = kept
-		if len(kept) == 0 {
-			delete(p.idle, address)
+		a.idle = kept
+		if len(kept) == 0 && a.busy <= 0 {
+			delete(p.addresses, address)
 		}
 	}
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -113,6 +113,20 @@
 	return q.w.End()
 }
 
+// shareMargin is the part of a target's connections that the daemons share out; the rest
+// is for connections that a target has not yet seen closed.
+const shareMargin = 0.8
+
+// share is the number of connections to one target of the service that this daemon should
+// have at a time.
+func (q *run) share() int {
+	most := q.table.Services[q.service].MaxConnections
+	if most <= 0 {
+		return 0
+	}
+	return max(int(shareMargin*float64(most)/float64(max(q.f.Budget.Daemons(), 1))), 1)
+}
+
 // slowRatio is the time over the aim after which a request that may be repeated is tried
 // at another target.
 const slowRatio = 1.5
@@ -142,7 +156,7 @@
 	f := q.f
 	reuse := q.reuse()
 	for {
-		conn, err := f.Pool.Open(ctx, target.Address, reuse)
+		conn, err := f.Pool.Open(ctx, target.Address, exchange.Use{Reuse: reuse, Share: q.share()})
 		if err != nil {
 			f.Inventory.Failed(target.ID)
 			f.Log.Emit(event.AttemptFailed, "Request", q.call.AttemptID, "Target", target.ID, "NotSent", true, "Reason", err.Error())
--- a/internal/scheduler/call.go
+++ b/internal/scheduler/call.go
@@ -133,7 +133,7 @@
 }
 
 func (s *Scheduler) exchange(ctx context.Context, address string, head, body []byte, reuse exchange.Reuse) (int, []byte, error) {
-	conn, err := s.Pool.Open(ctx, address, reuse)
+	conn, err := s.Pool.Open(ctx, address, exchange.Use{Reuse: reuse})
 	if err != nil {
 		return 0, nil, err
 	}
