--- /dev/null
+++ b/test/entry/rules_test.go
@@ -0,0 +1,392 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	standinplatform "github.com/sequoiapick/sequoiapick/internal/standin/platform"
+	"github.com/sequoiapick/sequoiapick/internal/standin/service"
+)
+
+// bound is the users' bound for configurations, and for leaving targets.
+const bound = 2 * time.Second
+
+// one sends one attempt and returns it.
+func (f *fleet) one(route string, d *daemon) *attempt {
+	a := request(route, 1)
+	a.send(context.Background(), d)
+	return a
+}
+
+var _ = Describe("an entry host", func() {
+	It("serves every kind of request whole, each with its own inputs", func() {
+		f := newFleet(3)
+		l := f.load()
+		time.Sleep(4 * time.Second)
+		attempts := l.end()
+		f.check(attempts)
+		ok, all := served(attempts, time.Time{}, time.Now())
+		Expect(all).To(BeNumerically(">", 200))
+		Expect(ok).To(Equal(all))
+		for _, name := range []string{"billing", "portal"} {
+			for _, s := range f.of(name) {
+				Eventually(s.Held).WithTimeout(2*time.Second).Should(BeZero(), "results that nobody needs at "+s.ID)
+			}
+		}
+	})
+
+	It("answers 503 without a configuration, 404 without a route and 401 without a key", func() {
+		f := newFleet(1)
+		d := f.daemons[0]
+		a := request("none", 1)
+		a.send(context.Background(), d)
+		Expect(a.status).To(Equal(404))
+		for _, key := range []string{"", "forged"} {
+			a = request("safe", 1)
+			a.key = key
+			a.send(context.Background(), d)
+			Expect(a.status).To(Equal(401))
+		}
+		f.check(nil)
+		d.kill()
+		f.store.SetFault(standinplatform.Fault{Down: true})
+		d.start()
+		Eventually(func() int { return f.one("safe", d).status }).WithTimeout(5 * time.Second).Should(Equal(503))
+		Expect(d.isReady()).To(BeFalse())
+		f.store.SetFault(standinplatform.Fault{})
+		Eventually(d.isReady).WithTimeout(5 * time.Second).Should(BeTrue())
+	})
+
+	It("CONFIG: puts versions in force within the bound at every host and never goes back", func() {
+		f := newFleet(3)
+		for range 3 {
+			f.routes = append(f.routes, map[string]any{"name": "added", "host": "h.example", "prefix": "/added/", "kind": "safe", "service": "desk", "timeoutMs": 3000, "targetLatencyMs": 400, "maxAttempts": 2})
+			f.configure()
+			time.Sleep(bound)
+			for _, d := range f.daemons {
+				Expect(f.one("added", d).status).To(Equal(200), d.host)
+			}
+			f.routes = f.routes[:len(f.routes)-1]
+			f.configure()
+			gone := map[*daemon]bool{}
+			for deadline := time.Now().Add(bound); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+				for _, d := range f.daemons {
+					status := f.one("added", d).status
+					Expect(gone[d] && status == 200).To(BeFalse(), d.host+" went back to an older version")
+					gone[d] = gone[d] || status == 404
+				}
+			}
+			for _, d := range f.daemons {
+				Expect(gone[d]).To(BeTrue(), d.host)
+			}
+		}
+	})
+
+	It("CONFIG: takes a key away from a host that the store turns away", func() {
+		f := newFleet(3)
+		f.store.SetFault(standinplatform.Fault{CutHosts: []string{f.daemons[1].host}})
+		f.keys["bozi"] = []string{"k9"}
+		f.configure()
+		time.Sleep(bound)
+		for _, d := range f.daemons {
+			Expect(f.one("safe", d).status).To(Equal(401), d.host)
+		}
+	})
+
+	It("DRAIN: sends nothing to a leaving server after the bound, store or no store", func() {
+		f := newFleet(3)
+		l := f.load()
+		time.Sleep(time.Second)
+		f.store.SetFault(standinplatform.Fault{CutHosts: []string{f.leader().host}})
+		leaving := []*server{f.of("desk")[0], f.of("llm")[1], f.of("billing")[2]}
+		for _, s := range leaving {
+			f.drain(s)
+		}
+		since := time.Now()
+		time.Sleep(bound + 2*time.Second)
+		f.check(l.end())
+		for _, s := range leaving {
+			arrivals := s.Arrivals()
+			Expect(arrivals[len(arrivals)-1]).To(BeTemporally("<", since.Add(bound)), s.ID)
+		}
+	})
+
+	It("EVAC: leaves the servers of a data centre that is taken out, and comes back", func() {
+		f := newFleet(3)
+		l := f.load()
+		time.Sleep(time.Second)
+		f.put("op", "evacuate/ga-b", map[string]any{})
+		out := time.Now()
+		time.Sleep(bound + time.Second)
+		f.store.Remove("op", "evacuate/ga-b")
+		back := time.Now()
+		time.Sleep(2 * time.Second)
+		f.check(l.end())
+		for _, s := range f.servers {
+			if s.centre != "ga-b" {
+				continue
+			}
+			returned := 0
+			for _, at := range s.Arrivals() {
+				Expect(at.After(out.Add(bound)) && at.Before(back)).To(BeFalse(), s.ID)
+				if at.After(back) {
+					returned++
+				}
+			}
+			Expect(returned).To(BeNumerically(">", 0), s.ID)
+		}
+	})
+
+	It("TWICE, REFUSED: never repeats what may have run, and says 'not run' only if true", func() {
+		f := newFleet(3)
+		for _, s := range f.of("desk") {
+			s.SetFault(service.Fault{Lose: 10, Truncate: 10, Shed: 10})
+		}
+		for _, s := range f.of("llm") {
+			s.SetFault(service.Fault{Lose: 10, Shed: 10})
+		}
+		l := f.load()
+		time.Sleep(4 * time.Second)
+		attempts := l.end()
+		f.check(attempts)
+		lost := 0
+		for _, a := range attempts {
+			if a.route == "unsafe" && a.status == 502 {
+				lost++
+			}
+		}
+		Expect(lost).To(BeNumerically(">", 0), "no answer was lost in the run")
+	})
+
+	It("ORDER: resumes a stream that breaks off inside an event, whole and in order", func() {
+		f := newFleet(3)
+		f.of("llm")[0].SetFault(service.Fault{CutEvent: 12})
+		l := f.load()
+		time.Sleep(4 * time.Second)
+		attempts := l.end()
+		f.check(attempts)
+		resumed := 0
+		for _, a := range attempts {
+			if a.route == "resumable" {
+				Expect(a.whole && a.status == 200).To(BeTrue(), "resumable stream %s: %d %v", a.id, a.status, a.err)
+				resumed++
+			}
+		}
+		Expect(resumed).To(BeNumerically(">", 20))
+	})
+
+	It("MIXED: drops extra answers and uses only the one to its request", func() {
+		f := newFleet(2)
+		for _, s := range f.of("desk") {
+			s.SetFault(service.Fault{Extra: 30})
+		}
+		l := f.load()
+		time.Sleep(3 * time.Second)
+		f.check(l.end())
+	})
+
+	It("LOST: a planned stop cuts off no request and takes the host out at once", func() {
+		f := newFleet(3)
+		l := f.load()
+		time.Sleep(time.Second)
+		for _, d := range []*daemon{f.leader(), f.daemons[0]} {
+			if d.command.ProcessState != nil {
+				continue
+			}
+			begin := time.Now()
+			stopped := make(chan time.Duration, 1)
+			go func() {
+				defer GinkgoRecover()
+				stopped <- d.terminate()
+			}()
+			Eventually(d.isReady).WithTimeout(time.Second).Should(BeFalse())
+			time.Sleep(time.Until(begin.Add(2 * time.Second))) // the balancer's two misses
+			l.takeOut(d, true)
+			Expect(<-stopped).To(BeNumerically("<", 8*time.Second))
+			d.start()
+			Eventually(d.isReady).WithTimeout(5 * time.Second).Should(BeTrue())
+			l.takeOut(d, false)
+		}
+		attempts := l.end()
+		f.check(attempts)
+		for _, a := range attempts {
+			Expect(a.err).NotTo(HaveOccurred(), "%s %s to %s", a.route, a.id, a.daemon.host)
+			Expect(a.status).To(Equal(200), "%s %s to %s", a.route, a.id, a.daemon.host)
+		}
+	})
+
+	It("LOST: a kept connection is closed only with 'Connection: close' at a planned stop", func() {
+		f := newFleet(1)
+		d := f.daemons[0]
+		conn, err := net.Dial("tcp", d.callers)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		ask := func(n int) *http.Response {
+			_, err := fmt.Fprintf(conn, "POST /safe/2f HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: kept%d\r\nAuthorization: Bearer k1\r\nX-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n", n)
+			Expect(err).NotTo(HaveOccurred())
+			r, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = bufio.NewReader(r.Body).ReadString(0)
+			Expect(err).To(MatchError("EOF"))
+			return r
+		}
+		Expect(ask(1).Close).To(BeFalse())
+		d.signal(syscall.SIGTERM)
+		Eventually(d.isReady).Should(BeFalse())
+		r := ask(2)
+		Expect(r.StatusCode).To(Equal(200))
+		Expect(r.Close).To(BeTrue())
+	})
+
+	It("goes on when the daemon that leads is killed, and repeats nothing", func() {
+		f := newFleet(4)
+		l := f.load()
+		time.Sleep(2 * time.Second)
+		leader := f.leader()
+		l.takeOut(leader, true)
+		time.Sleep(300 * time.Millisecond)
+		leader.kill()
+		killed := time.Now()
+		time.Sleep(4 * time.Second)
+		attempts := l.end()
+		f.check(attempts)
+		ok, all := served(attempts, killed.Add(2*time.Second), time.Now())
+		Expect(ok).To(Equal(all))
+	})
+
+	It("goes on when the daemon that leads is frozen, and does no harm when it wakes", func() {
+		f := newFleet(4)
+		l := f.load()
+		time.Sleep(2 * time.Second)
+		leader := f.leader()
+		l.takeOut(leader, true)
+		time.Sleep(300 * time.Millisecond)
+		leader.signal(syscall.SIGSTOP)
+		frozen := time.Now()
+		time.Sleep(3 * time.Second)
+		leader.signal(syscall.SIGCONT)
+		woken := time.Now()
+		time.Sleep(3 * time.Second)
+		attempts := l.end()
+		f.check(attempts)
+		ok, all := served(attempts, frozen.Add(2*time.Second), woken)
+		Expect(ok).To(Equal(all))
+		ok, all = served(attempts, woken.Add(2*time.Second), time.Now())
+		Expect(ok).To(Equal(all))
+	})
+
+	DescribeTable("goes on while the store is away",
+		func(fault standinplatform.Fault) {
+			f := newFleet(3)
+			l := f.load()
+			time.Sleep(time.Second)
+			f.store.SetFault(fault)
+			time.Sleep(4 * time.Second)
+			f.store.SetFault(standinplatform.Fault{})
+			time.Sleep(time.Second)
+			attempts := l.end()
+			f.check(attempts)
+			ok, all := served(attempts, time.Time{}, time.Now())
+			Expect(ok).To(Equal(all))
+		},
+		Entry("refusing", standinplatform.Fault{Down: true}),
+		Entry("silent", standinplatform.Fault{Silent: true}),
+		Entry("busy", standinplatform.Fault{Busy: true}),
+		Entry("slow", standinplatform.Fault{DelayMillis: 500}),
+	)
+
+	It("reads the store anew when its history is gone", func() {
+		f := newFleet(3)
+		for range 3 {
+			f.store.Compact()
+			f.keys["bozi"] = append(f.keys["bozi"], "more")
+			f.configure()
+			f.store.Compact()
+			time.Sleep(bound)
+			for _, d := range f.daemons {
+				a := request("safe", 1)
+				a.key = "more"
+				a.send(context.Background(), d)
+				Expect(a.status).To(Equal(200), d.host)
+			}
+			f.keys["bozi"] = []string{"k1"}
+		}
+	})
+
+	It("RECOVER: serves again after every daemon was killed", func() {
+		f := newFleet(3)
+		for _, d := range f.daemons {
+			d.kill()
+		}
+		for _, d := range f.daemons {
+			d.start()
+		}
+		began := time.Now()
+		for _, d := range f.daemons {
+			Eventually(func() int { return f.one("resumable", d).status }).WithTimeout(12 * time.Second).Should(Equal(200))
+		}
+		Expect(time.Since(began)).To(BeNumerically("<", 12*time.Second))
+	})
+
+	It("ROUTE: doesn't send to an address that another server has taken", func() {
+		f := newFleet(2)
+		old := f.of("desk")[0]
+		address := old.address
+		old.Stop()
+		f.mu.Lock()
+		old.silent = true
+		f.mu.Unlock()
+		other := &service.Server{ID: "i-other", Profile: service.Profile{Kind: service.Plain}}
+		_, err := other.Start(address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(other.Stop)
+		l := f.load()
+		time.Sleep(2 * time.Second)
+		f.check(l.end())
+		Expect(other.Journal()).To(BeEmpty())
+	})
+
+	It("GONE: stops the work of a client that leaves", func() {
+		f := newFleet(1)
+		for _, s := range f.of("desk") {
+			s.SetFault(service.Fault{Hang: 5})
+		}
+		a := request("safe", 1)
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		a.send(ctx, f.daemons[0])
+		Expect(a.err).To(HaveOccurred())
+		time.Sleep(500 * time.Millisecond)
+		arrivals := 0
+		for _, s := range f.of("desk") {
+			arrivals += len(s.Arrivals())
+		}
+		time.Sleep(time.Second)
+		for _, s := range f.of("desk") {
+			arrivals -= len(s.Arrivals())
+		}
+		Expect(arrivals).To(BeZero(), "requests arrived after the client had left")
+	})
+
+	It("CONFIG: gives its final answer at the route's timeout", func() {
+		f := newFleet(1)
+		f.routes[0]["timeoutMs"] = 500
+		f.configure()
+		time.Sleep(bound)
+		for _, s := range f.of("desk") {
+			s.SetFault(service.Fault{Hang: 5})
+		}
+		a := f.one("safe", f.daemons[0])
+		Expect(a.status).To(Equal(504))
+		Expect(a.endedAt.Sub(a.sentAt)).To(BeNumerically("~", 500*time.Millisecond, 250*time.Millisecond))
+	})
+})
