--- /dev/null
+++ b/cmd/sequoiactl/load.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/sequoiapick/sequoiapick/internal/emulator"
+)
+
+func newLoad() *ffcli.Command {
+	fs := flag.NewFlagSet("sequoiactl load", flag.ContinueOnError)
+	site := fs.String("site", "", "name of the emulated site; empty plays all")
+	policy := fs.String("policy", "", "policy; empty plays all")
+	seed := fs.Uint64("seed", 1, "seed of the draws")
+	return &ffcli.Command{
+		Name:       "load",
+		ShortUsage: "sequoiactl load [flags]",
+		ShortHelp:  "plays a load against the dispatch of stages in simulated time and prints attainment, goodput and prices",
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(context.Context, []string) error {
+			return playLoad(*site, *policy, *seed)
+		},
+	}
+}
+
+func playLoad(site, policy string, seed uint64) error {
+	var names []string
+	played := 0
+	for _, s := range emulator.Sites() {
+		names = append(names, s.Name)
+		if site != "" && site != s.Name {
+			continue
+		}
+		for _, p := range emulator.Policies() {
+			if policy != "" && policy != string(p) {
+				continue
+			}
+			fmt.Print(emulator.Run(s, p, seed).Table())
+			played++
+		}
+	}
+	if played == 0 {
+		return fmt.Errorf("no site %q or no policy %q; sites: %s; policies: %v", site, policy, strings.Join(names, ", "), emulator.Policies())
+	}
+	return nil
+}
--- a/cmd/sequoiactl/main.go
+++ b/cmd/sequoiactl/main.go
@@ -28,7 +28,7 @@
 		ShortUsage: "sequoiactl <command> [flags]",
 		ShortHelp:  "configures and inspects sequoiapick (" + version.String() + ")",
 		Subcommands: []*ffcli.Command{
-			newApply(), newDescribe(), newStatus(), newOut(), newIn(), newExplain(), newOrder(), newVersion(),
+			newApply(), newDescribe(), newStatus(), newOut(), newIn(), newExplain(), newOrder(), newState(), newTrace(), newLoad(), newVersion(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -213,7 +213,7 @@
 		if o == nil || o.pressure() < rejectPressure {
 			continue
 		}
-		p.reject(j, Reject{Job: j.ID, Reason: Overloaded, RetryAfter: o.retryAfter()})
+		p.reject(j, Reject{Job: j.ID, Reason: Overloaded, RetryAfter: o.retryAfter(), Service: j.scarcest})
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -171,6 +171,8 @@
 	Inputs []string
 	// BytesIn is the size of the inputs by data centre.
 	BytesIn map[string]int64
+	// Steps tells how the stages went.
+	Steps []Step
 }
 
 // Reject says that a job can't be done.
@@ -178,6 +180,11 @@
 	Job        string
 	Reason     Reason
 	RetryAfter time.Duration
+	// Service is the one that decided, Pressure the demand on it over what it can do.
+	Service  string
+	Pressure float64
+	// Steps tells how far the stages had come.
+	Steps []Step
 }
 
 // Reason says why a job was rejected.
@@ -284,8 +291,9 @@
 
 type job struct {
 	Job
-	stages   []*stageState
-	failures int
+	submitted time.Time
+	stages    []*stageState
+	failures  int
 	// finished says that Finish was returned and the inputs are still held.
 	finished bool
 	// begun says that a piece was sent.
@@ -305,6 +313,9 @@
 	results []result
 	// missing is the number of pieces without a result.
 	missing int
+	// queuedAt, begunAt and doneAt are when the stage was queued, its first piece was sent
+	// and its last one was done.
+	queuedAt, begunAt, doneAt time.Time
 	// sentTo is the data centre to which pieces were sent last.
 	sentTo string
 	queued bool
@@ -485,7 +496,7 @@
 	if _, known := p.jobs[j.ID]; known {
 		return nil
 	}
-	state := &job{Job: j}
+	state := &job{Job: j, submitted: now}
 	for i, plan := range j.Stages {
 		s := &stageState{job: state, index: i, plan: plan, results: make([]result, plan.Pieces), missing: plan.Pieces}
 		state.stages = append(state.stages, s)
@@ -523,6 +534,9 @@
 func (p *Planner) keepResult(s *stageState, index int, t *targetState, handle string) {
 	s.results[index] = result{handle: handle, target: t, bytes: s.plan.ResultBytes, calls: s.results[index].calls}
 	s.missing--
+	if s.missing == 0 {
+		s.doneAt = p.now
+	}
 	t.results[handle] = s.plan.ResultBytes
 	t.used += s.plan.ResultBytes
 }
@@ -611,6 +625,9 @@
 	for _, s := range j.stages {
 		if !s.queued && s.missing > 0 && j.wanted(s) && p.inputsReady(j, s) {
 			s.queued = true
+			if s.queuedAt.IsZero() {
+				s.queuedAt = p.now
+			}
 			for i := range s.results {
 				if s.results[i].handle == "" && s.results[i].calls <= 0 {
 					p.enqueue(s, i)
@@ -723,7 +740,7 @@
 }
 
 func (p *Planner) finish(j *job) {
-	f := Finish{Job: j.ID, BytesIn: map[string]int64{}}
+	f := Finish{Job: j.ID, BytesIn: map[string]int64{}, Steps: p.Steps(j.ID)}
 	for _, s := range j.stages {
 		if !j.final(s) {
 			continue
@@ -928,7 +945,7 @@
 		c.target.pausedUntil = now.Add(noRoomPause)
 		p.requeue(ref)
 	case Late:
-		p.reject(s.job, Reject{Job: s.job.ID, Reason: TooLate})
+		p.reject(s.job, Reject{Job: s.job.ID, Reason: TooLate, Service: s.plan.Service})
 	case InputGone:
 		p.countFailure(s.job)
 		if p.jobs[s.job.ID] == s.job {
@@ -977,6 +994,10 @@
 	if p.jobs[j.ID] != j {
 		return
 	}
+	r.Steps = p.Steps(j.ID)
+	if o := p.outlooks[r.Service]; o != nil {
+		r.Pressure = o.pressure()
+	}
 	p.drop(j)
 	p.actions = append(p.actions, r)
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -93,7 +93,7 @@
 		}
 	}
 	for _, j := range late {
-		p.reject(j, Reject{Job: j.ID, Reason: TooLate})
+		p.reject(j, Reject{Job: j.ID, Reason: TooLate, Service: pl.name})
 	}
 }
 
@@ -230,6 +230,9 @@
 		s.results[index].calledAt = now
 		s.sentTo = c.target.DataCentre
 		s.job.begun = true
+		if s.begunAt.IsZero() {
+			s.begunAt = now
+		}
 		piece := Piece{Job: s.job.ID, Stage: s.index, Index: index, Left: s.job.Deadline.Sub(now)}
 		if len(s.plan.After) == 0 {
 			piece.Key = s.job.Key
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -31,6 +31,7 @@
 	"github.com/sequoiapick/sequoiapick/internal/forward"
 	"github.com/sequoiapick/sequoiapick/internal/ingress"
 	"github.com/sequoiapick/sequoiapick/internal/inventory"
+	"github.com/sequoiapick/sequoiapick/internal/metric"
 	"github.com/sequoiapick/sequoiapick/internal/scheduler"
 	"github.com/sequoiapick/sequoiapick/pkg/route"
 	"github.com/sequoiapick/sequoiapick/platform"
@@ -54,8 +55,13 @@
 // Host is the daemon of one entry host.
 type Host struct {
 	SettingsPath string
-	Clock        clockwork.Clock
-	Logger       logr.Logger
+	// MetricsPort is the port of the host's address from which metrics and the state are
+	// read; 0 serves none.
+	MetricsPort int
+	Clock       clockwork.Clock
+	Logger      logr.Logger
+	// DroppedLogging returns the number of log lines that were dropped; it may be nil.
+	DroppedLogging func() int64
 
 	settings    platform.Settings
 	incarnation string
@@ -68,6 +74,7 @@
 	scheduler   *scheduler.Scheduler
 	forwarder   *forward.Forwarder
 	front       *ingress.Server
+	metrics     *metric.Entry
 	readers     map[string]*tableReader
 	members     members
 
@@ -88,7 +95,11 @@
 	if err := h.run(ctx, startSteps()); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case err := <-h.tasks.failures():
+		return err
+	}
 	return h.run(context.WithoutCancel(ctx), stopSteps())
 }
 
@@ -183,6 +194,11 @@
 	}
 	h.members = members{host: h}
 	h.makeReaders()
+	metrics, err := metric.NewEntry(State{}.gauges(), func() []metric.Gauge { return h.State().gauges() })
+	if err != nil {
+		return err
+	}
+	h.metrics, h.scheduler.Metrics, h.forwarder.Metrics = metrics, metrics, metrics
 	return nil
 }
 
@@ -225,6 +241,7 @@
 
 func startTasks(h *Host, _ context.Context) error {
 	t := &h.tasks
+	t.log = h.log
 	t.start("scheduler", h.scheduler.Run)
 	t.start("peers", func(ctx context.Context) error { return h.mesh.Serve(ctx, h.listeners.peers) })
 	for table, reader := range h.readers {
@@ -236,6 +253,7 @@
 	t.start("reach", h.watchReach)
 	t.start("reload", h.watchSettings)
 	t.start("readiness", h.serveReadiness)
+	t.start("state", h.serveState)
 	t.start("callers", func(ctx context.Context) error { return h.front.Serve(ctx, h.listeners.callers) })
 	h.log.Emit(event.DaemonStarted, "Incarnation", h.incarnation, "DataCentre", h.settings.DataCentre)
 	return nil
@@ -370,10 +388,35 @@
 
 // tasks are the goroutines of a host; each reports its end on its channel.
 type tasks struct {
+	log event.Log
+
 	mu      sync.Mutex
 	running map[string]task
+	failed  chan error
+}
+
+// failures returns the channel on which a task that failed is reported; the host can't go
+// on without it.
+func (t *tasks) failures() <-chan error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.failed == nil {
+		t.failed = make(chan error, maxTasks)
+	}
+	return t.failed
+}
+
+// report tells of a failure unless many wait already.
+func (t *tasks) report(err error) {
+	select {
+	case t.failed <- err:
+	default:
+	}
 }
 
+// maxTasks is more than the tasks of a host.
+const maxTasks = 32
+
 type task struct {
 	cancel context.CancelFunc
 	ended  chan error
@@ -382,7 +425,15 @@
 func (t *tasks) start(name string, run func(ctx context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- run(ctx) }()
+	t.failures() // so that the channel is there
+	go func() {
+		err := run(ctx)
+		if err != nil {
+			t.log.Emit(event.TaskFailed, "Task", name, "Reason", err.Error())
+			t.report(errors.Wrap(err, name))
+		}
+		ended <- err
+	}()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.running == nil {
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -173,6 +173,13 @@
 	return joined
 }
 
+// state returns the version and the age of the copy.
+func (r *tableReader) state() (version int64, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mirror.Version(), r.mirror.Age(r.host.Clock.Now())
+}
+
 // loaded reports whether the copy was ever complete.
 func (r *tableReader) loaded() bool {
 	r.mu.Lock()
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -27,6 +27,8 @@
 	LoopFailed          = Event{104, "LoopFailed", "a periodic task failed and will be tried again"}
 	SettingsRead        = Event{105, "SettingsRead", "the settings file was read again"}
 	SettingsRefused     = Event{106, "SettingsRefused", "a changed settings file isn't valid, the old settings stay in force"}
+	LinesDropped        = Event{107, "LinesDropped", "log lines were dropped to keep the volume bounded"}
+	TaskFailed          = Event{108, "TaskFailed", "a task that the daemon needs has failed, the process ends"}
 	RequestAdmitted     = Event{200, "RequestAdmitted", "a request was admitted under a configuration version"}
 	RequestRefused      = Event{201, "RequestRefused", "a request was refused before it ran"}
 	RequestAnswered     = Event{202, "RequestAnswered", "the whole answer was produced"}
@@ -79,6 +81,7 @@
 func Catalogue() []Event {
 	return []Event{
 		DaemonStarted, DaemonStopping, DaemonStopped, StepFailed, LoopFailed, SettingsRead, SettingsRefused,
+		LinesDropped, TaskFailed,
 		RequestAdmitted, RequestRefused, RequestAnswered, RequestFailed, EntryRefused, EntryAbandoned, StreamBroken,
 		EntryAnswered,
 		StageRouted, StageHeld, StageRefused, AttemptFailed, AttemptForwarded, AttemptHedged, LateAnswerDropped,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,7 @@
 	"github.com/sequoiapick/sequoiapick/internal/exchange"
 	"github.com/sequoiapick/sequoiapick/internal/ingress"
 	"github.com/sequoiapick/sequoiapick/internal/inventory"
+	"github.com/sequoiapick/sequoiapick/internal/metric"
 	"github.com/sequoiapick/sequoiapick/internal/scheduler"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
 	"github.com/sequoiapick/sequoiapick/pkg/route"
@@ -33,12 +34,14 @@
 // Forwarder answers requests.
 type Forwarder struct {
 	// Table returns the configuration in force, nil if there is none yet.
-	Table      func() *route.Table
-	Inventory  *inventory.Inventory
-	Scheduler  *scheduler.Scheduler
-	Pool       *exchange.Pool
-	Clock      clockwork.Clock
-	Log        event.Log
+	Table     func() *route.Table
+	Inventory *inventory.Inventory
+	Scheduler *scheduler.Scheduler
+	Pool      *exchange.Pool
+	Clock     clockwork.Clock
+	Log       event.Log
+	// Metrics may be nil.
+	Metrics    *metric.Entry
 	DataCentre string
 	// Budget bounds the sends beyond the first.
 	Budget *Budget
@@ -70,17 +73,35 @@
 	began    time.Time
 }
 
-// answered logs that a target answered the request.
-func (q *run) answered(target string, status int) {
-	since := func(t time.Time) int64 {
-		if t.IsZero() {
-			return 0
-		}
-		return t.Sub(q.request.Arrived).Milliseconds()
+// Outcomes of requests in the metrics, besides the kinds of errors.
+const (
+	outcomeAnswered  = "Answered"
+	outcomeAbandoned = "Abandoned"
+	outcomeBroken    = "Broken"
+)
+
+// end writes the one line about how the request ended, with what decided it.
+func (q *run) end(e event.Event, outcome string, keysAndValues ...any) {
+	f := q.f
+	now := f.Clock.Now()
+	fields := []any{"Request", q.call.AttemptID, "Outcome", outcome, "Millis", now.Sub(q.request.Arrived).Milliseconds(), "Sends", q.sends}
+	name := ""
+	if q.route != nil {
+		name = q.route.Name
+		fields = append(fields, "Route", name, "Account", q.account, "Version", q.table.Version, "Service", q.service,
+			"AimMillis", q.route.Aim.Milliseconds(), "LeftMillis", q.deadline.Sub(now).Milliseconds(),
+			"AssignedMillis", q.since(q.assigned).Milliseconds(), "BeganMillis", q.since(q.began).Milliseconds())
+	}
+	f.Log.Emit(e, append(fields, keysAndValues...)...)
+	f.Metrics.RequestEnded(name, outcome, q.since(q.assigned), q.since(q.began))
+}
+
+// since is the time from the arrival of the request; 0 if it didn't happen.
+func (q *run) since(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
 	}
-	q.f.Log.Emit(event.EntryAnswered, "Request", q.call.AttemptID, "Route", q.route.Name, "Version", q.table.Version,
-		"Target", target, "Status", status, "Sends", q.sends, "AimMillis", q.route.Aim.Milliseconds(),
-		"AssignedMillis", since(q.assigned), "BeganMillis", since(q.began), "Millis", since(q.f.Clock.Now()))
+	return t.Sub(q.request.Arrived)
 }
 
 // RefuseMalformed implements ingress.Handler.
@@ -171,7 +192,7 @@
 func (q *run) refuse(err error, retryAfter time.Duration) {
 	kind := problem.Of(err)
 	status := kind.Answer().HTTPStatus
-	q.f.Log.Emit(event.EntryRefused, "Request", q.call.AttemptID, "Kind", string(kind), "Status", status, "Reason", problem.Detail(err), "RetryAfterMillis", retryAfter.Milliseconds())
+	q.end(event.EntryRefused, string(kind), "Status", status, "Reason", problem.Detail(err), "RetryAfterMillis", retryAfter.Milliseconds())
 	_ = q.w.Answer(status, platform.AppendRefusalFields(nil, q.call.AttemptID, retryAfter), []byte(problem.Detail(err)+"\n"))
 }
 
@@ -179,7 +200,7 @@
 // only if no send can have run it.
 func (q *run) giveUp(ctx context.Context, err error, retryAfter time.Duration) {
 	if context.Cause(ctx) == ingress.ErrClientLeft {
-		q.f.Log.Emit(event.EntryAbandoned, "Request", q.call.AttemptID, "Sends", q.sends)
+		q.end(event.EntryAbandoned, outcomeAbandoned)
 		q.w.Break()
 		return
 	}
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -158,7 +158,7 @@
 	switch {
 	case answer.Head.NotExecuted:
 		f.Pool.Release(conn)
-		f.Log.Emit(event.AttemptFailed, "Request", q.call.AttemptID, "Target", target.ID, "Status", answer.Head.Status, "NotRun", true)
+		q.failed(target.ID, "NotRun", "Status", answer.Head.Status)
 		return outcome{
 			inputsGone: answer.Head.Status == statusConflict,
 			err:        problem.New(problem.Overloaded, "target %s didn't run the request", target.ID),
@@ -172,7 +172,7 @@
 	if err == nil {
 		f.Pool.Release(conn)
 		f.Inventory.Succeeded(target.ID)
-		q.answered(target.ID, answer.Head.Status)
+		q.end(event.EntryAnswered, outcomeAnswered, "Target", target.ID, "Status", answer.Head.Status, "LastEvent", s.lastEvent)
 		return outcome{done: true}
 	}
 	f.Pool.Discard(conn)
@@ -180,7 +180,7 @@
 		return outcome{err: err, inputsGone: true}
 	}
 	f.Inventory.Failed(target.ID)
-	f.Log.Emit(event.AttemptFailed, "Request", q.call.AttemptID, "Target", target.ID, "Reason", err.Error())
+	q.failed(target.ID, outcomeBroken, "Reason", err.Error(), "LastEvent", s.lastEvent)
 	return outcome{err: err, inputsGone: true}
 }
 
@@ -200,7 +200,7 @@
 		return outcome{err: problem.New(problem.TargetFailed, "target %s answered with status %d", target.ID, answer.Head.Status), inputsGone: true}
 	}
 	_ = q.w.Answer(answer.Head.Status, platform.AppendAnswerFields(nil, &answer.Header), body)
-	q.answered(target.ID, answer.Head.Status)
+	q.end(event.EntryAnswered, outcomeAnswered, "Target", target.ID, "Status", answer.Head.Status)
 	return outcome{done: true}
 }
 
@@ -218,7 +218,7 @@
 		q.giveUp(ctx, err, retryAfter)
 		return
 	}
-	q.f.Log.Emit(event.StreamBroken, "Request", q.call.AttemptID, "LastEvent", s.lastEvent, "Reason", err.Error())
+	q.end(event.StreamBroken, outcomeBroken, "LastEvent", s.lastEvent, "Reason", err.Error())
 	q.w.Break()
 }
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -56,7 +56,7 @@
 	load = answer.Head.Load
 	if answer.Head.NotExecuted {
 		f.Pool.Release(conn)
-		f.Log.Emit(event.AttemptFailed, "Request", q.call.AttemptID, "Target", target.ID, "Status", answer.Head.Status, "NotRun", true)
+		q.failed(target.ID, "NotRun", "Status", answer.Head.Status)
 		return false, problem.New(problem.Overloaded, "target %s didn't run the request", target.ID)
 	}
 	q.ran = true
@@ -72,7 +72,7 @@
 	if err != nil {
 		f.Pool.Discard(conn)
 		f.Inventory.Failed(target.ID)
-		f.Log.Emit(event.AttemptFailed, "Request", q.call.AttemptID, "Target", target.ID, "Reason", err.Error())
+		q.failed(target.ID, "Truncated", "Reason", err.Error())
 		return false, problem.New(problem.TargetFailed, "answer of target %s: %v", target.ID, err)
 	}
 	f.Pool.Release(conn)
@@ -81,7 +81,7 @@
 	}
 	f.Inventory.Succeeded(target.ID)
 	_ = q.w.Answer(answer.Head.Status, platform.AppendAnswerFields(nil, &answer.Header), body)
-	q.answered(target.ID, answer.Head.Status)
+	q.end(event.EntryAnswered, outcomeAnswered, "Target", target.ID, "Status", answer.Head.Status)
 	return true, nil
 }
 
@@ -150,6 +150,13 @@
 	stall     time.Duration
 }
 
+// failed logs and counts a send that didn't bring an answer to use.
+func (q *run) failed(target, outcome string, keysAndValues ...any) {
+	fields := []any{"Request", q.call.AttemptID, "Target", target, "Outcome", outcome, "Send", q.sends, "Millis", q.f.Clock.Since(q.request.Arrived).Milliseconds()}
+	q.f.Log.Emit(event.AttemptFailed, append(fields, keysAndValues...)...)
+	q.f.Metrics.Attempt(q.service, outcome)
+}
+
 // send sends the request to a target and returns the head of the answer. The caller must
 // release or discard the connection if there is no error.
 func (q *run) send(ctx context.Context, target inventory.Target, extra extras) (*exchange.Answer, *exchange.Conn, error) {
@@ -159,13 +166,14 @@
 		conn, err := f.Pool.Open(ctx, target.Address, exchange.Use{Reuse: reuse, Share: q.share()})
 		if err != nil {
 			f.Inventory.Failed(target.ID)
-			f.Log.Emit(event.AttemptFailed, "Request", q.call.AttemptID, "Target", target.ID, "NotSent", true, "Reason", err.Error())
+			q.failed(target.ID, "NotSent", "Reason", err.Error())
 			return nil, nil, err
 		}
 		answer, err := conn.Do(ctx, q.forwardTo(target.ID, extra))
 		if err == nil {
 			q.sends++
 			q.began = f.Clock.Now()
+			f.Metrics.Attempt(q.service, outcomeAnswered)
 			return answer, conn, nil
 		}
 		f.Pool.Discard(conn)
@@ -181,7 +189,7 @@
 		if ctx.Err() == nil {
 			f.Inventory.Failed(target.ID)
 		}
-		f.Log.Emit(event.AttemptFailed, "Request", q.call.AttemptID, "Target", target.ID, "Reason", err.Error())
+		q.failed(target.ID, "Lost", "Reason", err.Error(), "Reused", exchange.Stale(err))
 		return nil, nil, err
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -25,6 +25,7 @@
 	"github.com/sequoiapick/sequoiapick/internal/dispatch"
 	"github.com/sequoiapick/sequoiapick/internal/event"
 	"github.com/sequoiapick/sequoiapick/internal/exchange"
+	"github.com/sequoiapick/sequoiapick/internal/metric"
 	"github.com/sequoiapick/sequoiapick/internal/placement"
 	"github.com/sequoiapick/sequoiapick/pkg/service"
 )
@@ -93,6 +94,8 @@
 	Pool  *exchange.Pool
 	Clock clockwork.Clock
 	Log   event.Log
+	// Metrics may be nil.
+	Metrics *metric.Entry
 
 	events  chan func()
 	planner *dispatch.Planner
@@ -108,6 +111,7 @@
 	origin     string
 	generation placement.Request
 	inputs     []string
+	steps      []dispatch.Step
 	expires    time.Time
 }
 
@@ -176,6 +180,25 @@
 	}
 }
 
+// State returns what this scheduler works on: its services and the number of requests.
+func (s *Scheduler) State() (services []dispatch.ServiceState, requests int) {
+	type state struct {
+		services []dispatch.ServiceState
+		requests int
+	}
+	told := make(chan state, 1)
+	s.post(func() { told <- state{s.planner.State(), len(s.owned)} })
+	select {
+	case st := <-told:
+		return st.services, st.requests
+	case <-s.Clock.After(stateTimeout):
+		return nil, 0
+	}
+}
+
+// stateTimeout bounds the wait for a busy loop.
+const stateTimeout = 500 * time.Millisecond
+
 // submit takes a request from this daemon or another one.
 func (s *Scheduler) submit(origin string, job Job) {
 	now := s.Clock.Now()
@@ -213,10 +236,13 @@
 func (s *Scheduler) assign(id string, o *owned) {
 	engine, ok := s.board.Choose(s.Clock.Now(), o.generation)
 	if !ok {
+		s.Log.Emit(event.JobRejected, "Request", id, "Origin", o.origin, "Reason", string(dispatch.NoTarget), "Service", o.generation.Service,
+			"Excluded", len(o.generation.Exclude), "Steps", o.steps)
 		s.refuse(id, o, string(dispatch.NoTarget), noTargetRetry)
 		return
 	}
-	s.Log.Emit(event.EngineAssigned, "Request", id, "Origin", o.origin, "Target", engine.ID, "DataCentre", engine.DataCentre, "Inputs", len(o.inputs))
+	s.Metrics.Job("Assigned")
+	s.Log.Emit(event.EngineAssigned, "Request", id, "Origin", o.origin, "Target", engine.ID, "DataCentre", engine.DataCentre, "Inputs", len(o.inputs), "Steps", o.steps)
 	s.answer(o.origin, id, Assigned{Target: engine.ID, Address: engine.Address, Inputs: o.inputs})
 }
 
@@ -227,7 +253,7 @@
 	delete(s.owned, id)
 	s.board.Ended(id)
 	s.perform(s.planner.Withdraw(s.Clock.Now(), id))
-	s.Log.Emit(event.JobRejected, "Request", id, "Origin", o.origin, "Reason", reason, "RetryAfterMillis", retryAfter.Milliseconds())
+	s.Metrics.Job(reason)
 	s.answer(o.origin, id, Refused{Reason: reason, RetryAfter: retryAfter})
 }
 
@@ -286,12 +312,14 @@
 			}
 		case dispatch.Finish:
 			if o := s.owned[a.Job]; o != nil {
-				o.inputs = a.Inputs
+				o.inputs, o.steps = a.Inputs, a.Steps
 				o.generation.BytesIn = a.BytesIn
 				s.assign(a.Job, o)
 			}
 		case dispatch.Reject:
 			if o := s.owned[a.Job]; o != nil {
+				s.Log.Emit(event.JobRejected, "Request", a.Job, "Origin", o.origin, "Reason", string(a.Reason), "RetryAfterMillis", a.RetryAfter.Milliseconds(),
+					"Service", a.Service, "Pressure", a.Pressure, "Steps", a.Steps)
 				s.refuse(a.Job, o, string(a.Reason), a.RetryAfter)
 			}
 		}
