fix(cluster): a reset link doesn't count as an ended daemon

A daemon now counts as ended when its link is closed and its port refuses a new one; a failed link is opened anew at once, so a killed leader is still replaced in milliseconds. The term of a member is kept over a new link of the same incarnation.

--- a/internal/cluster/beat.go
+++ b/internal/cluster/beat.go
@@ -71,7 +71,7 @@
 	if m.fast(p) {
 		limit = silenceLimit
 	}
-	return !p.departed && now.Sub(p.heardAt) < limit && now.Sub(p.echoAt) < limit
+	return !p.departed() && now.Sub(p.heardAt) < limit && now.Sub(p.echoAt) < limit
 }
 
 func (m *Mesh) beat(ctx context.Context) {
@@ -123,7 +123,7 @@
 		return
 	}
 	p.heardAt, p.heard = m.Clock.Now(), beat.GetSequence()
-	p.departed = false
+	p.closed = false
 	if at := m.sent.of(beat.GetHeard()); at.After(p.echoAt) {
 		p.echoAt = at
 	}
@@ -143,7 +143,7 @@
 	candidates := []Candidate{{Host: m.Self.Host, Rank: rank(m.Self), Hub: m.isHub(m.Self.Host), Alive: true, Stopping: m.stopping}}
 	departed := false
 	for host, p := range m.peers {
-		if host == m.leader && (p.departed || p.stopping) {
+		if host == m.leader && (p.departed() || p.stopping) {
 			departed = true
 		}
 		candidates = append(candidates, Candidate{
@@ -151,7 +151,7 @@
 			Rank:        rank(p.member),
 			Hub:         m.isHub(host),
 			Alive:       m.alive(p, now),
-			Heard:       !p.departed && now.Sub(p.heardAt) < silenceLimit,
+			Heard:       !p.departed() && now.Sub(p.heardAt) < silenceLimit,
 			Stopping:    p.stopping,
 			Term:        p.term,
 			HighestTerm: p.highestTerm,
--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -18,8 +19,11 @@
 const (
 	// dialTimeout bounds the opening of a link.
 	dialTimeout = time.Second
-	// redialPause is the wait before a failed link is opened again.
-	redialPause = 200 * time.Millisecond
+	// redialPause is the wait before a failed link is opened again. A link that fails after
+	// it was open is opened anew without one, and the waits grow from firstRedialPause: that
+	// shows within milliseconds whether the daemon has ended or only the link.
+	redialPause      = 200 * time.Millisecond
+	firstRedialPause = 10 * time.Millisecond
 	// writeTimeout closes a link that takes no bytes for that long.
 	writeTimeout = time.Second
 	// queueLength bounds the envelopes that wait for a link.
@@ -49,10 +53,15 @@
 	term        uint64
 	highestTerm uint64
 	stopping    bool
-	// departed says that the member closed its link, as a daemon does that ends.
-	departed bool
+	// closed says that the member's link to this daemon was closed and no new one came,
+	// refused that its port takes no connections.
+	closed, refused bool
 }
 
+// departed reports whether the daemon has ended. A closed link alone doesn't say so, since
+// network devices reset connections between daemons that live.
+func (p *peer) departed() bool { return p.closed && p.refused }
+
 // open starts a link to the member.
 func (m *Mesh) open(member Member) *peer {
 	ctx, cancel := context.WithCancel(m.ctx)
@@ -96,21 +105,31 @@
 
 // link keeps the link to a member open.
 func (m *Mesh) link(ctx context.Context, p *peer) {
+	var pause time.Duration
 	for ctx.Err() == nil {
 		err := m.runLink(ctx, p)
 		m.mu.Lock()
+		if p.up {
+			pause = 0
+		}
 		p.up = false
+		p.refused = errors.Is(err, syscall.ECONNREFUSED)
+		departed := p.departed()
 		drain(p.out)
 		host := p.member.Host
 		m.mu.Unlock()
 		if ctx.Err() == nil {
 			m.Log.Emit(event.LinkLost, "Member", host, "Reason", reason(err))
 		}
+		if departed {
+			m.elect()
+		}
 		select {
 		case <-ctx.Done():
 		case <-p.retry:
-		case <-m.Clock.After(redialPause):
+		case <-m.Clock.After(pause):
 		}
+		pause = min(max(2*pause, firstRedialPause), redialPause)
 	}
 }
 
@@ -190,7 +209,7 @@
 		return err
 	}
 	m.mu.Lock()
-	p.up = true
+	p.up, p.refused = true, false
 	host := p.member.Host
 	m.mu.Unlock()
 	m.Handler.Linked(host)
@@ -311,6 +330,7 @@
 		m.mu.Unlock()
 		return ""
 	}
+	restarted := m.known[sender.Host].Incarnation != sender.Incarnation
 	if m.learn(sender) {
 		news = append(news, sender)
 	}
@@ -329,7 +349,10 @@
 	if !p.up {
 		p.wake()
 	}
-	p.departed, p.stopping, p.term = false, false, 0
+	p.closed = false
+	if restarted {
+		p.stopping, p.term = false, 0
+	}
 	m.contact(m.Clock.Now())
 	m.mu.Unlock()
 	if len(news) > 0 {
@@ -338,15 +361,14 @@
 	return sender.Host
 }
 
-// lost notes that an incoming link ended; one that was closed by the other side, while no
-// new one has come, means that the daemon has ended.
+// lost notes that an incoming link was closed by the other side.
 func (m *Mesh) lost(host, incarnation string, err error) {
 	if !isClosed(err) {
 		return
 	}
 	m.mu.Lock()
 	if p := m.peers[host]; p != nil && p.member.Incarnation == incarnation {
-		p.departed = true
+		p.closed = true
 	}
 	m.mu.Unlock()
 	m.elect()
