refactor(dispatch): one file per noun instead of one of a thousand lines

Cause: dispatch.go had grown to 1,014 lines, in which jobs, stages, targets and calls were hard to find.

--- /dev/null
+++ b/internal/dispatch/action.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// Piece is one piece of a call.
+type Piece struct {
+	Job    string
+	Stage  int
+	Index  int
+	Left   time.Duration
+	Key    string
+	Inputs []string
+}
+
+// Failure says why a piece has no result.
+type Failure string
+
+// The failures of a piece.
+const (
+	// Late means that the piece's time was over when its turn came.
+	Late Failure = "Late"
+	// InputGone means that an input no longer exists.
+	InputGone Failure = "InputGone"
+	// NoRoom means that the target had no memory for the result.
+	NoRoom Failure = "NoRoom"
+	// Broken is any other failure.
+	Broken Failure = "Broken"
+)
+
+// Result is the outcome of one piece.
+type Result struct {
+	Handle  string
+	Failure Failure
+}
+
+// CallFailure says why a call has no answer.
+type CallFailure string
+
+// The failures of a call.
+const (
+	// Full means that the target refused the call.
+	Full CallFailure = "Full"
+	// Lost means that the call ended without an answer.
+	Lost CallFailure = "Lost"
+)
+
+// Action is what the caller must do: a StartCall, FreeResults, Progress, Finish or Reject.
+type Action interface{ isAction() }
+
+// StartCall sends a call to a target.
+type StartCall struct {
+	Call   uint64
+	Target Target
+	Pieces []Piece
+	// Started is when the call was decided, Expected its predicted duration.
+	Started  time.Time
+	Expected time.Duration
+}
+
+// FreeResults gives results at a target up.
+type FreeResults struct {
+	Target  Target
+	Handles []string
+}
+
+// Progress tells of results that were made for a job, so that another planner can go on
+// from them.
+type Progress struct {
+	Job  string
+	Done []Done
+}
+
+// Finish says that all stages of a job are done.
+type Finish struct {
+	Job string
+	// Inputs are the results that the request itself needs.
+	Inputs []string
+	// BytesIn is the size of the inputs by data centre.
+	BytesIn map[string]int64
+	// Steps tells how the stages went.
+	Steps []Step
+}
+
+// Reject says that a job can't be done.
+type Reject struct {
+	Job        string
+	Reason     Reason
+	RetryAfter time.Duration
+	// Service is the one that decided, Pressure the demand on it over what it can do.
+	Service  string
+	Pressure float64
+	// Steps tells how far the stages had come.
+	Steps []Step
+}
+
+// Reason says why a job was rejected.
+type Reason string
+
+// The reasons of a rejection.
+const (
+	// TooLate means that the stages can't be done before the deadline.
+	TooLate Reason = "TooLate"
+	// Overloaded means that other work goes first.
+	Overloaded Reason = "Overloaded"
+	// Failing means that pieces failed too often.
+	Failing Reason = "Failing"
+	// NoTarget means that a service has no usable target.
+	NoTarget Reason = "NoTarget"
+)
+
+func (StartCall) isAction()   {}
+func (FreeResults) isAction() {}
+func (Progress) isAction()    {}
+func (Finish) isAction()      {}
+func (Reject) isAction()      {}
