--- a/internal/dispatch/action.go
+++ b/internal/dispatch/action.go
@@ -42,8 +42,11 @@
 const (
 	// Full means that the target refused the call.
 	Full CallFailure = "Full"
-	// Lost means that the call ended without an answer.
+	// Lost means that the call was sent and ended without an answer; the target works at it
+	// all the same.
 	Lost CallFailure = "Lost"
+	// Unreached means that the target took no connection.
+	Unreached CallFailure = "Unreached"
 )
 
 // Action is what the caller must do: a StartCall, FreeResults, Progress, Finish or Reject.
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -55,6 +55,8 @@
 	case Full:
 		c.target.pausedUntil = now.Add(fullPause)
 	case Lost:
+		c.target.abandon(now, c)
+	case Unreached:
 		c.target.pausedUntil = now.Add(lostPause)
 	}
 	p.requeuePieces(c)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,8 +27,9 @@
 	maxPieceFailures = 12
 	// fullPause is the wait before a target that refused a call is tried again.
 	fullPause = 60 * time.Millisecond
-	// lostPause is the wait before a target that lost a call is tried again, about the time
-	// in which a crashed one is noticed by its silence.
+	// lostPause is the wait before a target that took no connection, or was overdue with a
+	// call that it lost, is tried again: about the time in which a crashed one is noticed by
+	// its silence.
 	lostPause = 500 * time.Millisecond
 	// fetchTime is the time after which a call has fetched its inputs; they are some MB over
 	// links of 10 Gbit/s.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -246,6 +246,38 @@
 	}
 }
 
+func TestLostCallHoldsItsTargetAndItsRoom(t *testing.T) {
+	p := planner(40, target("f", "first", "a"))
+	j := chain("j")
+	j.Deadline = begin.Add(8 * time.Second)
+	j.Stages = []dispatch.Stage{{Service: "first", Pieces: 4, ResultBytes: 10}}
+	first := calls(p.Submit(begin, j))
+	if len(first) != 1 || len(first[0].Pieces) != 4 {
+		t.Fatalf("calls: %+v", first)
+	}
+	ends := begin.Add(first[0].Expected)
+	if got := calls(p.CallFailed(begin.Add(50*time.Millisecond), first[0].Call, dispatch.Lost)); len(got) != 0 {
+		t.Fatalf("a call to a target that still works at a lost one: %+v", got)
+	}
+	if got := calls(p.Tick(ends.Add(time.Second))); len(got) != 0 {
+		t.Fatalf("a call without room, which the results of the lost one take: %+v", got)
+	}
+	if got := calls(p.Tick(ends.Add(4*time.Second + 50*time.Millisecond))); len(got) != 1 || len(got[0].Pieces) != 4 {
+		t.Fatalf("calls after the lost results have vanished: %+v", got)
+	}
+}
+
+func TestCallThatReachedNobodyTakesNoRoom(t *testing.T) {
+	p := planner(40, target("f", "first", "a"))
+	j := chain("j")
+	j.Stages = []dispatch.Stage{{Service: "first", Pieces: 4, ResultBytes: 10}}
+	first := calls(p.Submit(begin, j))
+	p.CallFailed(begin.Add(50*time.Millisecond), first[0].Call, dispatch.Unreached)
+	if got := calls(p.Tick(begin.Add(600 * time.Millisecond))); len(got) != 1 || len(got[0].Pieces) != 4 {
+		t.Fatalf("calls after the pause: %+v", got)
+	}
+}
+
 func TestJobWithoutTimeIsRejected(t *testing.T) {
 	p := planner(0, target("f", "first", "a"), target("s", "second", "a"))
 	p.Submit(begin, chain("before"))
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -24,6 +24,9 @@
 		p.hedge(now, p.calls[id])
 	}
 	for _, pl := range p.pools {
+		for _, t := range pl.targets {
+			t.expire(now)
+		}
 		p.rejectLate(now, pl)
 	}
 	p.giveUpFetched()
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -42,10 +42,19 @@
 	slowness float64
 	// results maps the handles that live at the target to their sizes.
 	results map[string]int64
-	used    int64
+	// used is the room that results and running calls take.
+	used int64
+	// orphans are the results of lost calls, which nobody can give up.
+	orphans []orphan
 	gone    bool
 }
 
+// orphan is the room that the results of a lost call take.
+type orphan struct {
+	bytes int64
+	until time.Time
+}
+
 // SetServices sets how the targets of each service run calls.
 func (p *Planner) SetServices(services map[string]service.Service) {
 	for name, s := range services {
@@ -187,3 +196,28 @@
 	least, most := pl.batch.PieceTime/maxPieceRatio, pl.batch.PieceTime*maxPieceRatio
 	pl.pieceTimes[kind] = min(max(pl.pieceTime(kind)+step, least), most)
 }
+
+// abandon holds the target until it has ended a lost call, and the room of its results
+// until they vanish by themselves.
+func (t *targetState) abandon(now time.Time, c *call) {
+	ends := c.started.Add(c.expected)
+	if ends.Before(now) {
+		ends = now.Add(lostPause)
+	}
+	t.pausedUntil = ends
+	if life := t.pool.batch.ResultLifetime; life > 0 {
+		t.orphans = append(t.orphans, orphan{bytes: c.bytes, until: ends.Add(life)})
+		t.used += c.bytes
+	}
+}
+
+// expire takes the room back of orphans that have vanished.
+func (t *targetState) expire(now time.Time) {
+	t.orphans = slices.DeleteFunc(t.orphans, func(o orphan) bool {
+		if now.Before(o.until) {
+			return false
+		}
+		t.used -= o.bytes
+		return true
+	})
+}
--- a/internal/scheduler/call.go
+++ b/internal/scheduler/call.go
@@ -19,6 +19,9 @@
 	// then its pieces have long been given to another target.
 	callRatio = 3
 	callSlack = 1500 * time.Millisecond
+	// staleLimit is the time in which a connection that the target had closed fails: a round
+	// trip and some slack. Calls take hundreds of milliseconds.
+	staleLimit = 30 * time.Millisecond
 	// maxCallBytes bounds the answer to a call.
 	maxCallBytes = 1 << 20
 	// freeTimeout bounds a call that gives results up; they vanish by themselves later.
@@ -95,7 +98,10 @@
 		return nil, dispatch.Lost, err
 	}
 	status, answer, err := s.call(ctx, target.Address, head, body)
-	if err != nil {
+	switch {
+	case exchange.NotSent(err):
+		return nil, dispatch.Unreached, err
+	case err != nil:
 		return nil, dispatch.Lost, err
 	}
 	switch status {
@@ -124,11 +130,14 @@
 	platform.PieceError:     dispatch.Broken,
 }
 
-// call sends one call and reads its whole answer. A call that failed on a connection
-// that had been idle is sent once more, since stage targets may run a piece again.
+// call sends one call and reads its whole answer. A call that failed at once on a
+// connection that had been idle is sent once more, since stage targets may run a piece
+// again. One that failed later was being worked on: its inputs may be given up by now, and
+// what it was for may no longer be wanted.
 func (s *Scheduler) call(ctx context.Context, address string, head, body []byte) (int, []byte, error) {
+	began := s.Clock.Now()
 	status, answer, err := s.exchange(ctx, address, head, body, exchange.Pooled)
-	if err != nil && exchange.Stale(err) && ctx.Err() == nil {
+	if err != nil && exchange.Stale(err) && ctx.Err() == nil && s.Clock.Since(began) < staleLimit {
 		return s.exchange(ctx, address, head, body, exchange.Fresh)
 	}
 	return status, answer, err
