fix(scheduler): hand work over between leaders and resend what a reset link lost

A reset link loses the messages under way: a lost Submit or Assigned left the request waiting till its deadline.

Ruled out: the targets (their logs show the calls arriving twice), the store (no slow or lost answers in these windows), the length of the queues.

Change: the old leader hands over its jobs with what runs and with the results it holds, the new one adopts them and waits for calls of the other planner at the targets they occupy. Peers that see a new incarnation or a new link ask for a resync, and tickets are submitted again under the same identity. Results are freed by the planner that owns the job alone.

--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -358,6 +358,7 @@
 	if len(news) > 0 {
 		m.Handler.Learned(news)
 	}
+	m.Handler.Linked(sender.Host)
 	return sender.Host
 }
 
--- a/internal/cluster/mesh.go
+++ b/internal/cluster/mesh.go
@@ -65,7 +65,7 @@
 	LeaderChanged(leader string)
 	// Learned says that members were heard of that weren't known.
 	Learned(members []Member)
-	// Linked says that a link to a member was opened.
+	// Linked says that a link to or from a member was opened.
 	Linked(host string)
 }
 
@@ -288,12 +288,15 @@
 	return m.leader
 }
 
-// IsAlive reports whether there is a link to the member and it answers.
-func (m *Mesh) IsAlive(host string) bool {
+// Incarnation returns the present start of a member, empty if it doesn't answer.
+func (m *Mesh) Incarnation(host string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[host]
-	return p != nil && m.alive(p, m.Clock.Now())
+	if p == nil || !m.alive(p, m.Clock.Now()) {
+		return ""
+	}
+	return p.member.Incarnation
 }
 
 // MemberState is what is known of another daemon.
--- a/internal/dispatch/action.go
+++ b/internal/dispatch/action.go
@@ -49,7 +49,8 @@
 	Unreached CallFailure = "Unreached"
 )
 
-// Action is what the caller must do: a StartCall, FreeResults, Progress, Finish or Reject.
+// Action is what the caller must do: a StartCall, FreeResults, Progress, Finish, Reject,
+// Moved or Left.
 type Action interface{ isAction() }
 
 // StartCall sends a call to a target.
@@ -73,6 +74,8 @@
 type Progress struct {
 	Job  string
 	Done []Done
+	// Released are the stages whose results were given up.
+	Released []int
 }
 
 // Finish says that all stages of a job are done.
@@ -98,6 +101,17 @@
 	Steps []Step
 }
 
+// Moved says that a job was handed over and what still runs for it.
+type Moved struct {
+	Job     string
+	Running []Running
+}
+
+// Left says that nothing runs any more for a job that was handed over.
+type Left struct {
+	Job string
+}
+
 // Reason says why a job was rejected.
 type Reason string
 
@@ -118,3 +132,5 @@
 func (Progress) isAction()    {}
 func (Finish) isAction()      {}
 func (Reject) isAction()      {}
+func (Moved) isAction()       {}
+func (Left) isAction()        {}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -67,10 +67,14 @@
 func (p *Planner) endCall(c *call) {
 	delete(p.calls, c.id)
 	delete(c.target.running, c.id)
+	if c.target.foreign == c {
+		c.target.foreign = nil
+	}
 	c.target.used -= c.bytes
 	for _, ref := range c.pieces {
 		ref.stage.results[ref.index].calls--
 	}
+	p.leaveMoved(c)
 }
 
 func (p *Planner) requeueCall(c *call) {
@@ -91,6 +95,10 @@
 		p.actions = append(p.actions, FreeResults{Target: c.target.Target, Handles: []string{r.Handle}})
 		return
 	}
+	if s.job.moved && r.Handle != "" && !s.released && !c.target.gone {
+		p.tell(s.job, Done{Stage: s.index, Index: ref.index, Handle: r.Handle, Target: c.target.ID, Made: now})
+		return
+	}
 	live := p.jobs[s.job.ID] == s.job && !s.released && !c.target.gone
 	if r.Handle != "" {
 		if !live || s.results[ref.index].handle != "" {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -73,6 +73,10 @@
 	calls    map[uint64]*call
 	nextCall uint64
 	actions  []Action
+	// told is what the present event tells of jobs.
+	told []*Progress
+	// settledAt is when all calls of a former planner have ended for sure.
+	settledAt time.Time
 	// now is the time of the event that is being taken.
 	now time.Time
 	// outlooks are those of the last look at all jobs, by service.
@@ -90,7 +94,12 @@
 }
 
 func (p *Planner) take() []Action {
-	actions := p.actions
-	p.actions = nil
+	// What was made is told before the job is finished or given up.
+	actions := make([]Action, 0, len(p.told)+len(p.actions))
+	for _, told := range p.told {
+		actions = append(actions, *told)
+	}
+	actions = append(actions, p.actions...)
+	p.actions, p.told = nil, nil
 	return actions
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -21,8 +21,12 @@
 	Priority int
 	// Worth is what the request earns if it is on time.
 	Worth float64
-	// Done are results that another planner has had made for the job.
-	Done []Done
+	// Done are results that another planner has had made for the job, Running the pieces
+	// that its calls still make.
+	Done    []Done
+	Running []Running
+	// HandedOut says that the request has its inputs already.
+	HandedOut bool
 }
 
 // Done is a result that was made.
@@ -69,6 +73,8 @@
 	failures  int
 	// finished says that Finish was returned and the inputs are still held.
 	finished bool
+	// moved says that the job was handed over to another planner.
+	moved bool
 	// begun says that a piece was sent.
 	begun bool
 	// behind says that the job can't be on time together with those before it.
@@ -85,7 +91,7 @@
 	if _, known := p.jobs[j.ID]; known {
 		return nil
 	}
-	state := &job{Job: j, submitted: now}
+	state := &job{Job: j, submitted: now, finished: j.HandedOut}
 	for i, plan := range j.Stages {
 		s := &stageState{job: state, index: i, plan: plan, results: make([]result, plan.Pieces), missing: plan.Pieces}
 		state.stages = append(state.stages, s)
@@ -94,32 +100,17 @@
 	for _, d := range j.Done {
 		p.adopt(state, d)
 	}
-	p.advance(state)
+	for _, r := range j.Running {
+		p.expect(state, r)
+	}
+	if !state.finished {
+		p.advance(state)
+	}
 	p.admitNew(now, state)
 	p.plan(now)
 	return p.take()
 }
 
-// adoptMargin is how long before the end of its life a result is no longer relied on.
-const adoptMargin = time.Second
-
-// adopt takes a result that another planner has had made, if it can still be used.
-func (p *Planner) adopt(j *job, d Done) {
-	if d.Stage < 0 || d.Stage >= len(j.stages) || d.Index < 0 || d.Index >= len(j.stages[d.Stage].results) {
-		return
-	}
-	s := j.stages[d.Stage]
-	t := p.targets[d.Target]
-	if t == nil || s.results[d.Index].handle != "" {
-		return
-	}
-	if life := t.pool.batch.ResultLifetime; life > 0 && p.now.Sub(d.Made) > life-adoptMargin {
-		return
-	}
-	p.keepResult(s, d.Index, t, d.Handle)
-	j.begun = true
-}
-
 func (p *Planner) keepResult(s *stageState, index int, t *targetState, handle string) {
 	s.results[index] = result{handle: handle, target: t, bytes: s.plan.ResultBytes, calls: s.results[index].calls}
 	s.missing--
@@ -232,19 +223,40 @@
 }
 
 func (p *Planner) finish(j *job) {
-	f := Finish{Job: j.ID, BytesIn: map[string]int64{}, Steps: p.Steps(j.ID)}
+	f := Finish{Job: j.ID, BytesIn: map[string]int64{}, Steps: p.Steps(j.ID), Inputs: j.inputs()}
 	for _, s := range j.stages {
 		if !j.final(s) {
 			continue
 		}
 		for i := range s.results {
-			f.Inputs = append(f.Inputs, s.results[i].handle)
 			f.BytesIn[s.results[i].target.DataCentre] += s.results[i].bytes
 		}
 	}
 	p.actions = append(p.actions, f)
 }
 
+// Inputs returns the results that the request itself needs; none if one of them is missing.
+func (p *Planner) Inputs(id string) []string {
+	j := p.jobs[id]
+	if j == nil || !p.complete(j) {
+		return nil
+	}
+	return j.inputs()
+}
+
+func (j *job) inputs() []string {
+	var handles []string
+	for _, s := range j.stages {
+		if !j.final(s) {
+			continue
+		}
+		for i := range s.results {
+			handles = append(handles, s.results[i].handle)
+		}
+	}
+	return handles
+}
+
 // Redo makes the inputs of a finished job anew, after the request found one gone.
 func (p *Planner) Redo(now time.Time, id string) []Action {
 	p.now = now
@@ -264,14 +276,20 @@
 
 // tell adds a result to what is told of the job.
 func (p *Planner) tell(j *job, d Done) {
-	for i, a := range p.actions {
-		if progress, ok := a.(Progress); ok && progress.Job == j.ID {
-			progress.Done = append(progress.Done, d)
-			p.actions[i] = progress
-			return
+	progress := p.progress(j)
+	progress.Done = append(progress.Done, d)
+}
+
+// progress returns what is told of the job after the present event.
+func (p *Planner) progress(j *job) *Progress {
+	for _, told := range p.told {
+		if told.Job == j.ID {
+			return told
 		}
 	}
-	p.actions = append(p.actions, Progress{Job: j.ID, Done: []Done{d}})
+	told := &Progress{Job: j.ID}
+	p.told = append(p.told, told)
+	return told
 }
 
 func (p *Planner) countFailure(j *job) {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -21,7 +21,12 @@
 func (p *Planner) Tick(now time.Time) []Action {
 	p.now = now
 	for _, id := range slices.Sorted(maps.Keys(p.calls)) {
-		p.hedge(now, p.calls[id])
+		switch c := p.calls[id]; {
+		case c.target.foreign == c:
+			p.checkForeign(now, c)
+		default:
+			p.hedge(now, c)
+		}
 	}
 	for _, pl := range p.pools {
 		for _, t := range pl.targets {
--- a/internal/dispatch/stage.go
+++ b/internal/dispatch/stage.go
@@ -113,6 +113,10 @@
 		byTarget[r.target] = append(byTarget[r.target], r.handle)
 		r.target.forget(r.handle)
 	}
+	if len(order) > 0 && p.jobs[s.job.ID] == s.job {
+		told := p.progress(s.job)
+		told.Released = append(told.Released, s.index)
+	}
 	for _, t := range order {
 		if !t.gone && !t.Closed { // nothing more is sent to a closed target; its results vanish by themselves
 			p.actions = append(p.actions, FreeResults{Target: t.Target, Handles: byTarget[t]})
@@ -159,6 +163,9 @@
 // fetched reports whether every missing piece of the stage is in a call that has run for
 // long enough to have fetched its inputs.
 func (p *Planner) fetched(s *stageState) bool {
+	if p.now.Before(p.settledAt) {
+		return false // calls may wait behind those of the former planner
+	}
 	for i := range s.results {
 		r := &s.results[i]
 		if r.handle == "" && (r.calls <= 0 || p.now.Sub(r.calledAt) < fetchTime) {
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -44,6 +44,8 @@
 	results map[string]int64
 	// used is the room that results and running calls take.
 	used int64
+	// foreign is what calls of a former planner still make.
+	foreign *call
 	// orphans are the results of lost calls, which nobody can give up.
 	orphans []orphan
 	gone    bool
--- a/internal/entry/world.go
+++ b/internal/entry/world.go
@@ -93,6 +93,7 @@
 // LeaderChanged implements cluster.Handler.
 func (h *Host) LeaderChanged(leader string) {
 	h.log.Emit(event.LeaderChanged, "Leader", leader)
+	h.scheduler.LeaderChanged(leader)
 	for _, r := range h.readers {
 		r.wakeUp()
 	}
@@ -107,6 +108,7 @@
 
 // Linked implements cluster.Handler: what this daemon couldn't read it asks for.
 func (h *Host) Linked(host string) {
+	h.scheduler.Linked(host)
 	for _, r := range h.readers {
 		if !r.loaded() {
 			r.want(host)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,7 @@
 	LateAnswerDropped   = Event{306, "LateAnswerDropped", "the answer of an attempt that had lost was dropped"}
 	EngineAssigned      = Event{309, "EngineAssigned", "the stages of a request are done and its engine is chosen"}
 	JobRejected         = Event{310, "JobRejected", "the stages of a request can't be done"}
+	WorkHandedOver      = Event{312, "WorkHandedOver", "the requests that this daemon worked on go to the new leader"}
 	StageCallEnded      = Event{311, "StageCallEnded", "a call to a stage target has its results"}
 	StageCallFailed     = Event{307, "StageCallFailed", "a call to a stage target failed, its pieces go to another"}
 	TargetDeclined      = Event{308, "TargetDeclined", "an assigned target is known here to take no new work"}
@@ -85,7 +86,7 @@
 		RequestAdmitted, RequestRefused, RequestAnswered, RequestFailed, EntryRefused, EntryAbandoned, StreamBroken,
 		EntryAnswered,
 		StageRouted, StageHeld, StageRefused, AttemptFailed, AttemptForwarded, AttemptHedged, LateAnswerDropped,
-		StageCallFailed, TargetDeclined, EngineAssigned, JobRejected, StageCallEnded,
+		StageCallFailed, TargetDeclined, EngineAssigned, JobRejected, StageCallEnded, WorkHandedOver,
 		TargetCold, TargetLeaving, TargetMalformed,
 		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected, LinkLost, LeaderChanged, MemberLearned,
 		DataCentreCut, DataCentreReached,
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -146,16 +146,34 @@
 	if best == nil {
 		return Engine{}, false
 	}
-	best.running[r.ID] = true
-	best.reading[r.ID] = r.PromptTokens - best.cache.known(r.Model, r.Parts)
-	best.cache.add(r.Model, r.Parts)
-	b.running[r.ID] = best
+	b.put(now, r, best)
+	return best.Engine, true
+}
+
+// put counts the request as sent to the engine.
+func (b *Board) put(now time.Time, r Request, e *engine) {
+	e.running[r.ID] = true
+	e.reading[r.ID] = r.PromptTokens - e.cache.known(r.Model, r.Parts)
+	e.cache.add(r.Model, r.Parts)
+	b.running[r.ID] = e
 	b.requests[r.ID] = r
 	for _, part := range r.Parts {
 		b.seen[partKey(r.Model, part.ID)] = now
 	}
 	b.trimSeen(now)
-	return best.Engine, true
+}
+
+// Place counts a request as sent to an engine that was chosen elsewhere.
+func (b *Board) Place(now time.Time, r Request, id string, began bool) {
+	b.forget(r.ID)
+	e := b.engines[id]
+	if e == nil {
+		return
+	}
+	b.put(now, r, e)
+	if began {
+		b.Began(r.ID)
+	}
 }
 
 // Prefer returns the data centre of the engine that the request would go to now.
--- /dev/null
+++ b/internal/scheduler/encode.go
@@ -0,0 +1,146 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
+	"github.com/sequoiapick/sequoiapick/internal/dispatch"
+	"github.com/sequoiapick/sequoiapick/internal/placement"
+)
+
+func encodeDone(now time.Time, done []dispatch.Done) []*clusterpb.Done {
+	list := make([]*clusterpb.Done, 0, len(done))
+	for _, d := range done {
+		list = append(list, &clusterpb.Done{
+			Stage: int32(d.Stage), Index: int32(d.Index), Handle: d.Handle, Target: d.Target, AgeMillis: now.Sub(d.Made).Milliseconds(),
+		})
+	}
+	return list
+}
+
+func decodeDone(now time.Time, done []*clusterpb.Done) []dispatch.Done {
+	list := make([]dispatch.Done, 0, len(done))
+	for _, d := range done {
+		list = append(list, dispatch.Done{
+			Stage:  int(d.GetStage()),
+			Index:  int(d.GetIndex()),
+			Handle: d.GetHandle(),
+			Target: d.GetTarget(),
+			Made:   now.Add(-time.Duration(d.GetAgeMillis()) * time.Millisecond),
+		})
+	}
+	return list
+}
+
+func encodeRunning(running []dispatch.Running) []*clusterpb.Running {
+	list := make([]*clusterpb.Running, 0, len(running))
+	for _, r := range running {
+		list = append(list, &clusterpb.Running{Stage: int32(r.Stage), Index: int32(r.Index), Target: r.Target, LeftMillis: r.Left.Milliseconds()})
+	}
+	return list
+}
+
+func decodeRunning(running []*clusterpb.Running) []dispatch.Running {
+	list := make([]dispatch.Running, 0, len(running))
+	for _, r := range running {
+		list = append(list, dispatch.Running{
+			Stage:  int(r.GetStage()),
+			Index:  int(r.GetIndex()),
+			Target: r.GetTarget(),
+			Left:   time.Duration(r.GetLeftMillis()) * time.Millisecond,
+		})
+	}
+	return list
+}
+
+func encodeReleased(stages []int) []int32 {
+	list := make([]int32, 0, len(stages))
+	for _, stage := range stages {
+		list = append(list, int32(stage))
+	}
+	return list
+}
+
+func decodeReleased(stages []int32) []int {
+	list := make([]int, 0, len(stages))
+	for _, stage := range stages {
+		list = append(list, int(stage))
+	}
+	return list
+}
+
+func encodeJob(now time.Time, j Job) *clusterpb.Submit {
+	m := &clusterpb.Submit{
+		ID:             j.ID,
+		DataCentre:     j.DataCentre,
+		Key:            j.Key,
+		AimMillis:      j.Aim.Sub(now).Milliseconds(),
+		DeadlineMillis: j.Deadline.Sub(now).Milliseconds(),
+		Priority:       int64(j.Priority),
+		Worth:          j.Worth,
+		Generation: &clusterpb.Generation{
+			Service:      j.Generation.Service,
+			Model:        j.Generation.Model,
+			PromptTokens: int64(j.Generation.PromptTokens),
+			OutputTokens: int64(j.Generation.OutputTokens),
+		},
+	}
+	for _, st := range j.Stages {
+		stage := &clusterpb.Stage{Service: st.Service, Kind: st.Kind, Pieces: int32(st.Pieces), ResultBytes: st.ResultBytes}
+		for _, before := range st.After {
+			stage.After = append(stage.After, int32(before))
+		}
+		m.Stages = append(m.Stages, stage)
+	}
+	for _, part := range j.Generation.Parts {
+		m.Generation.Parts = append(m.Generation.Parts, &clusterpb.Part{ID: part.ID, Tokens: int64(part.Tokens)})
+	}
+	m.Done = encodeDone(now, j.Done)
+	m.Running = encodeRunning(j.Running)
+	m.Assigned, m.Began = j.Assigned, j.Began
+	for id := range j.Generation.Exclude {
+		m.Generation.Excluded = append(m.Generation.Excluded, id)
+	}
+	return m
+}
+
+func decodeJob(now time.Time, m *clusterpb.Submit) Job {
+	g := m.GetGeneration()
+	j := Job{
+		ID:         m.GetID(),
+		DataCentre: m.GetDataCentre(),
+		Key:        m.GetKey(),
+		Aim:        now.Add(time.Duration(m.GetAimMillis()) * time.Millisecond),
+		Deadline:   now.Add(time.Duration(m.GetDeadlineMillis()) * time.Millisecond),
+		Priority:   int(m.GetPriority()),
+		Worth:      m.GetWorth(),
+		Generation: placement.Request{
+			ID:           m.GetID(),
+			Service:      g.GetService(),
+			Model:        g.GetModel(),
+			PromptTokens: int(g.GetPromptTokens()),
+			OutputTokens: int(g.GetOutputTokens()),
+			DataCentre:   m.GetDataCentre(),
+			Exclude:      map[string]bool{},
+		},
+	}
+	for i, st := range m.GetStages() {
+		stage := dispatch.Stage{Service: st.GetService(), Kind: st.GetKind(), Pieces: int(st.GetPieces()), ResultBytes: st.GetResultBytes()}
+		for _, before := range st.GetAfter() {
+			if before >= 0 && int(before) < i {
+				stage.After = append(stage.After, int(before))
+			}
+		}
+		j.Stages = append(j.Stages, stage)
+	}
+	for _, part := range g.GetParts() {
+		j.Generation.Parts = append(j.Generation.Parts, placement.Part{ID: part.GetID(), Tokens: int(part.GetTokens())})
+	}
+	j.Done = decodeDone(now, m.GetDone())
+	j.Running = decodeRunning(m.GetRunning())
+	j.Assigned, j.Began = m.GetAssigned(), m.GetBegan()
+	for _, id := range g.GetExcluded() {
+		j.Generation.Exclude[id] = true
+	}
+	return j
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -50,7 +50,9 @@
 type Mesh interface {
 	Send(host string, e *clusterpb.Envelope) bool
 	Leader() string
-	IsAlive(host string) bool
+	// Incarnation names the present start of a daemon; it is empty if the daemon doesn't
+	// answer.
+	Incarnation(host string) string
 }
 
 // Job is a request whose stages must run and which needs an engine.
@@ -64,8 +66,13 @@
 	Priority   int
 	Worth      float64
 	Generation placement.Request
-	// Done are results that a former leader has had made.
-	Done []dispatch.Done
+	// Done are results that a former leader has had made, Running the pieces that its calls
+	// still make.
+	Done    []dispatch.Done
+	Running []dispatch.Running
+	// Assigned is the engine that a former leader has chosen; Began says that it answers.
+	Assigned string
+	Began    bool
 }
 
 // Update is the answer to a submission: Assigned or Refused.
@@ -101,6 +108,9 @@
 	planner *dispatch.Planner
 	board   *placement.Board
 	owned   map[string]*owned
+	// moved maps the requests that were handed over while calls for them run to the daemons
+	// that hold their clients.
+	moved   map[string]string
 	tickets map[string]*Ticket
 	freeing map[string]*freeing
 	ctx     context.Context
@@ -113,6 +123,8 @@
 	inputs     []string
 	steps      []dispatch.Step
 	expires    time.Time
+	// assigned is the engine that was chosen last.
+	assigned *Assigned
 }
 
 // Init prepares the scheduler; it must be called before any other method.
@@ -121,6 +133,7 @@
 	s.planner = dispatch.New()
 	s.board = placement.New()
 	s.owned = map[string]*owned{}
+	s.moved = map[string]string{}
 	s.tickets = map[string]*Ticket{}
 	s.freeing = map[string]*freeing{}
 }
@@ -172,7 +185,7 @@
 func (s *Scheduler) WaitIdle() {
 	for {
 		left := make(chan int, 1)
-		s.post(func() { left <- len(s.owned) })
+		s.post(func() { left <- len(s.owned) + len(s.moved) })
 		if <-left == 0 {
 			return
 		}
@@ -202,19 +215,48 @@
 // submit takes a request from this daemon or another one.
 func (s *Scheduler) submit(origin string, job Job) {
 	now := s.Clock.Now()
-	if s.owned[job.ID] != nil {
+	if o := s.owned[job.ID]; o != nil {
+		s.submitAgain(o, job)
 		return
 	}
 	o := &owned{origin: origin, generation: job.Generation, expires: job.Deadline.Add(keepAfterDeadline)}
 	s.owned[job.ID] = o
+	if job.Assigned != "" {
+		s.board.Place(now, job.Generation, job.Assigned, job.Began)
+	}
 	pieces := 0
 	for _, stage := range job.Stages {
 		pieces += stage.Pieces
 	}
 	if pieces == 0 {
-		s.assign(job.ID, o)
+		if job.Assigned == "" {
+			s.assign(job.ID, o)
+		}
+		return
+	}
+	s.plan(now, job)
+	if job.Assigned == "" {
 		return
 	}
+	o.inputs = s.planner.Inputs(job.ID)
+	if job.Began {
+		s.perform(s.planner.Consumed(now, job.ID))
+	}
+}
+
+// submitAgain answers a request that is known already; its daemon may have missed what was
+// sent over a link that failed.
+func (s *Scheduler) submitAgain(o *owned, job Job) {
+	switch {
+	case job.Began:
+		s.began(job.ID)
+	case job.Assigned == "" && o.assigned != nil:
+		s.answer(o.origin, job.ID, *o.assigned)
+	}
+}
+
+// plan hands the stages of a request to the planner.
+func (s *Scheduler) plan(now time.Time, job Job) {
 	dataCentre := job.DataCentre
 	if near, ok := s.board.Prefer(now, job.Generation); ok {
 		dataCentre = near
@@ -229,6 +271,8 @@
 		Priority:   job.Priority,
 		Worth:      job.Worth,
 		Done:       job.Done,
+		Running:    job.Running,
+		HandedOut:  job.Assigned != "",
 	}))
 }
 
@@ -243,7 +287,8 @@
 	}
 	s.Metrics.Job("Assigned")
 	s.Log.Emit(event.EngineAssigned, "Request", id, "Origin", o.origin, "Target", engine.ID, "DataCentre", engine.DataCentre, "Inputs", len(o.inputs), "Steps", o.steps)
-	s.answer(o.origin, id, Assigned{Target: engine.ID, Address: engine.Address, Inputs: o.inputs})
+	o.assigned = &Assigned{Target: engine.ID, Address: engine.Address, Inputs: o.inputs}
+	s.answer(o.origin, id, *o.assigned)
 }
 
 // noTargetRetry is the time after which a request without a usable target may come again.
@@ -264,13 +309,14 @@
 		return
 	}
 	s.board.Ended(id)
+	o.assigned = nil
 	if failed != "" {
 		if o.generation.Exclude == nil {
 			o.generation.Exclude = map[string]bool{}
 		}
 		o.generation.Exclude[failed] = true
 	}
-	if inputsGone && s.planner.Known(id) {
+	if s.planner.Known(id) && (inputsGone || len(o.inputs) == 0) {
 		s.perform(s.planner.Redo(s.Clock.Now(), id))
 		return
 	}
@@ -307,9 +353,11 @@
 		case dispatch.FreeResults:
 			s.free(a)
 		case dispatch.Progress:
-			if o := s.owned[a.Job]; o != nil {
-				s.report(o.origin, a)
-			}
+			s.report(a)
+		case dispatch.Moved:
+			s.tellMoved(a)
+		case dispatch.Left:
+			delete(s.moved, a.Job)
 		case dispatch.Finish:
 			if o := s.owned[a.Job]; o != nil {
 				o.inputs, o.steps = a.Inputs, a.Steps
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,247 @@
+package scheduler_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
+	"github.com/sequoiapick/sequoiapick/internal/dispatch"
+	"github.com/sequoiapick/sequoiapick/internal/exchange"
+	"github.com/sequoiapick/sequoiapick/internal/placement"
+	"github.com/sequoiapick/sequoiapick/internal/scheduler"
+	standin "github.com/sequoiapick/sequoiapick/internal/standin/service"
+	"github.com/sequoiapick/sequoiapick/pkg/service"
+)
+
+// network links the schedulers of a few daemons in memory.
+type network struct {
+	mu         sync.Mutex
+	schedulers map[string]*scheduler.Scheduler
+	starts     map[string]string
+	leader     string
+	// drop loses what is sent to a daemon.
+	drop map[string]bool
+}
+
+// node is the mesh as one daemon sees it.
+type node struct {
+	network *network
+	host    string
+}
+
+func (n node) Send(host string, e *clusterpb.Envelope) bool {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	if s := n.network.schedulers[host]; s != nil && !n.network.drop[host] {
+		s.Receive(n.host, e)
+	}
+	return true
+}
+
+func (n node) Leader() string {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	return n.network.leader
+}
+
+func (n node) Incarnation(host string) string {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	return n.network.starts[host]
+}
+
+func (n *network) setDrop(host string, drop bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.drop[host] = drop
+}
+
+// elect makes a daemon lead and tells all.
+func (n *network) elect(leader string) {
+	n.mu.Lock()
+	n.leader = leader
+	n.mu.Unlock()
+	for _, s := range n.schedulers {
+		s.LeaderChanged(leader)
+	}
+}
+
+// crash ends a daemon without notice.
+func (n *network) crash(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.starts, host)
+	delete(n.schedulers, host)
+}
+
+// start runs the schedulers of daemons a, b and c, of which a leads, with one stage target
+// of each service and one engine.
+func start(t *testing.T) (*network, []*standin.Server) {
+	t.Helper()
+	n := &network{schedulers: map[string]*scheduler.Scheduler{}, starts: map[string]string{}, drop: map[string]bool{}, leader: "a"}
+	var servers []*standin.Server
+	var targets []dispatch.Target
+	for _, name := range []string{"first", "second"} {
+		server := &standin.Server{ID: name, Profile: standin.Profile{Kind: standin.Stage, Slots: 1, Work: 100 * time.Millisecond}}
+		address, err := server.Start("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Stop)
+		servers = append(servers, server)
+		targets = append(targets, dispatch.Target{ID: name, Service: name, Address: address, DataCentre: "x"})
+	}
+	batch := &service.Batch{Slots: 1, Size: 4, CallTime: 100 * time.Millisecond, PieceTime: time.Millisecond, ResultLifetime: 4 * time.Second}
+	services := map[string]service.Service{"first": {Batch: batch}, "second": {Batch: batch}, "engine": {Engine: &service.Engine{Slots: 4}}}
+	engines := []placement.Engine{{ID: "e", Service: "engine", Address: "127.0.0.1:9", DataCentre: "x"}}
+	for _, host := range []string{"a", "b", "c"} {
+		s := &scheduler.Scheduler{Host: host, Mesh: node{n, host}, Pool: &exchange.Pool{Clock: clockwork.NewRealClock()}, Clock: clockwork.NewRealClock()}
+		s.Init()
+		n.schedulers[host], n.starts[host] = s, host+"1"
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- s.Run(ctx) }()
+		t.Cleanup(func() {
+			cancel()
+			<-ended
+		})
+		s.SetWorld(services, targets, engines)
+	}
+	return n, servers
+}
+
+func job(id string) scheduler.Job {
+	now := time.Now()
+	return scheduler.Job{
+		ID:         id,
+		DataCentre: "x",
+		Key:        "key-" + id,
+		Aim:        now.Add(2 * time.Second),
+		Deadline:   now.Add(6 * time.Second),
+		Worth:      1,
+		Stages: []dispatch.Stage{
+			{Service: "first", Pieces: 2, ResultBytes: 10},
+			{Service: "second", After: []int{0}, Pieces: 1, ResultBytes: 10},
+		},
+		Generation: placement.Request{ID: id, Service: "engine", PromptTokens: 100},
+	}
+}
+
+func assigned(t *testing.T, ticket *scheduler.Ticket) scheduler.Assigned {
+	t.Helper()
+	select {
+	case u := <-ticket.Updates:
+		a, ok := u.(scheduler.Assigned)
+		if !ok {
+			t.Fatalf("not assigned: %+v", u)
+		}
+		return a
+	case <-time.After(4 * time.Second):
+		t.Fatal("no update")
+		return scheduler.Assigned{}
+	}
+}
+
+func requests(s *scheduler.Scheduler) int {
+	_, count := s.State()
+	return count
+}
+
+func eventually(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	for end := time.Now().Add(2 * time.Second); !reached(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+// TestHandOverMakesNothingTwice changes the leader while the first and while the second
+// stage runs.
+func TestHandOverMakesNothingTwice(t *testing.T) {
+	for name, after := range map[string]time.Duration{"FirstStage": 50 * time.Millisecond, "SecondStage": 160 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			n, servers := start(t)
+			ticket := n.schedulers["b"].Submit(job("j-" + name))
+			time.Sleep(after)
+			n.elect("c")
+			a := assigned(t, ticket)
+			if len(a.Inputs) != 1 {
+				t.Errorf("inputs: %v", a.Inputs)
+			}
+			if first, second := servers[0].Made(), servers[1].Made(); first != 2 || second != 1 {
+				t.Errorf("results made: %d and %d, want 2 and 1", first, second)
+			}
+			ticket.Ended()
+			eventually(t, "the new leader has freed all results", func() bool { return servers[0].Held()+servers[1].Held() == 0 })
+			if left := requests(n.schedulers["a"]); left != 0 {
+				t.Errorf("the former leader still has %d requests", left)
+			}
+		})
+	}
+}
+
+// TestHandedOutInputsAreFreedAfterTheLeaderDied kills the leader between the assignment and
+// the begin of the answer.
+func TestHandedOutInputsAreFreedAfterTheLeaderDied(t *testing.T) {
+	n, servers := start(t)
+	ticket := n.schedulers["b"].Submit(job("j"))
+	assigned(t, ticket)
+	n.crash("a")
+	n.elect("c")
+	eventually(t, "the new leader knows the request", func() bool { return requests(n.schedulers["c"]) == 1 })
+	ticket.Began()
+	eventually(t, "all results are freed", func() bool { return servers[0].Held()+servers[1].Held() == 0 })
+	ticket.Ended()
+	eventually(t, "the request is over", func() bool { return requests(n.schedulers["c"]) == 0 })
+}
+
+func TestRestartedOwnerIsAskedAgain(t *testing.T) {
+	n, _ := start(t)
+	n.setDrop("a", true)
+	ticket := n.schedulers["b"].Submit(job("j"))
+	n.mu.Lock()
+	n.starts["a"] = "a2"
+	n.mu.Unlock()
+	n.setDrop("a", false)
+	assigned(t, ticket)
+}
+
+// TestLostMessagesAreMadeUpFor loses what goes over a link until it is opened anew.
+func TestLostMessagesAreMadeUpFor(t *testing.T) {
+	t.Run("Submit", func(t *testing.T) {
+		n, _ := start(t)
+		n.setDrop("a", true)
+		ticket := n.schedulers["b"].Submit(job("j"))
+		time.Sleep(50 * time.Millisecond)
+		n.setDrop("a", false)
+		n.schedulers["b"].Linked("a")
+		assigned(t, ticket)
+	})
+	t.Run("Assigned", func(t *testing.T) {
+		n, servers := start(t)
+		n.setDrop("b", true)
+		ticket := n.schedulers["b"].Submit(job("j"))
+		eventually(t, "the stages are done", func() bool { return servers[1].Made() == 1 })
+		time.Sleep(50 * time.Millisecond)
+		n.setDrop("b", false)
+		n.schedulers["b"].Linked("a")
+		assigned(t, ticket)
+	})
+	t.Run("Ended", func(t *testing.T) {
+		n, servers := start(t)
+		ticket := n.schedulers["b"].Submit(job("j"))
+		assigned(t, ticket)
+		n.setDrop("a", true)
+		ticket.Ended()
+		time.Sleep(50 * time.Millisecond)
+		n.setDrop("a", false)
+		n.schedulers["b"].Linked("a")
+		eventually(t, "the request is over", func() bool { return requests(n.schedulers["a"]) == 0 })
+		eventually(t, "all results are freed", func() bool { return servers[0].Held()+servers[1].Held() == 0 })
+	})
+}
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -1,11 +1,11 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
 	"github.com/sequoiapick/sequoiapick/internal/dispatch"
-	"github.com/sequoiapick/sequoiapick/internal/placement"
 )
 
 // Ticket follows one submitted request at the daemon that holds its client.
@@ -15,12 +15,16 @@
 
 	scheduler *Scheduler
 	job       Job
-	// owner is the daemon that works on the request, empty while there is none.
-	owner string
+	// owner is the daemon that works on the request, empty while there is none, incarnation
+	// its start; former is the one that handed the request over.
+	owner, incarnation, former string
 	// waiting says that an answer is awaited, since when in asked.
 	waiting  bool
 	asked    time.Time
 	excluded map[string]bool
+	// running are the pieces that calls of the former owner make, as of runningAt.
+	running   []dispatch.Running
+	runningAt time.Time
 }
 
 // updatesLength is more than the answers that a ticket can have outstanding.
@@ -46,16 +50,17 @@
 			return
 		}
 		t.waiting, t.asked = true, s.Clock.Now()
+		t.job.Assigned, t.job.Began = "", false
 		t.excluded[failed] = true
 		if inputsGone {
-			t.job.Done = nil
+			t.job.Done, t.running = nil, nil
 		}
 		if t.owner == s.Host && s.owned[t.job.ID] != nil {
 			s.again(t.job.ID, failed, inputsGone)
 			return
 		}
 		e := &clusterpb.Envelope{Kind: &clusterpb.Envelope_Again{Again: &clusterpb.Again{ID: t.job.ID, Failed: failed, InputsGone: inputsGone}}}
-		if t.owner != "" && t.owner != s.Host && s.Mesh.IsAlive(t.owner) && s.Mesh.Send(t.owner, e) {
+		if t.owner != "" && t.owner != s.Host && s.ownerLives(t) && s.Mesh.Send(t.owner, e) {
 			return
 		}
 		t.owner = ""
@@ -65,14 +70,18 @@
 
 // Began says that the engine answers, so that the inputs aren't needed any more.
 func (t *Ticket) Began() {
-	t.tell(&clusterpb.Envelope{Kind: &clusterpb.Envelope_Began{Began: &clusterpb.Began{ID: t.job.ID}}}, func() { t.scheduler.began(t.job.ID) })
+	s := t.scheduler
+	s.post(func() {
+		t.job.Began = true
+		s.tell(t, &clusterpb.Envelope{Kind: &clusterpb.Envelope_Began{Began: &clusterpb.Began{ID: t.job.ID}}}, s.began)
+	})
 }
 
 // Ended says that the request is over, however it ended.
 func (t *Ticket) Ended() {
-	t.tell(&clusterpb.Envelope{Kind: &clusterpb.Envelope_Ended{Ended: &clusterpb.Ended{ID: t.job.ID}}}, func() { t.scheduler.end(t.job.ID) })
 	s := t.scheduler
 	s.post(func() {
+		s.tell(t, &clusterpb.Envelope{Kind: &clusterpb.Envelope_Ended{Ended: &clusterpb.Ended{ID: t.job.ID}}}, s.end)
 		if s.tickets[t.job.ID] == t {
 			delete(s.tickets, t.job.ID)
 		}
@@ -80,50 +89,70 @@
 }
 
 // tell passes a message to the owner, which may be this daemon.
-func (t *Ticket) tell(e *clusterpb.Envelope, local func()) {
-	s := t.scheduler
-	s.post(func() {
-		switch t.owner {
-		case "":
-		case s.Host:
-			local()
-		default:
-			s.Mesh.Send(t.owner, e)
-		}
-	})
+func (s *Scheduler) tell(t *Ticket, e *clusterpb.Envelope, local func(id string)) {
+	switch t.owner {
+	case "":
+	case s.Host:
+		local(t.job.ID)
+	default:
+		s.Mesh.Send(t.owner, e)
+	}
+}
+
+// ownerLives reports whether the daemon that works on the request is still the same one
+// and answers.
+func (s *Scheduler) ownerLives(t *Ticket) bool {
+	return t.owner == s.Host || t.incarnation != "" && s.Mesh.Incarnation(t.owner) == t.incarnation
 }
 
-// place hands a waiting request to the leader, or to this daemon if there is none.
+// place hands a request to the leader. One that waits for an answer is worked on by this
+// daemon when there is no leader for long.
 func (s *Scheduler) place(t *Ticket) {
 	leader := s.Mesh.Leader()
-	if leader == "" && s.Clock.Since(t.asked) < ownWorkAfter {
-		return // looked at again by checkTickets
+	alone := t.waiting && s.Clock.Since(t.asked) >= ownWorkAfter
+	switch {
+	case leader == s.Host || leader == "" && alone:
+		s.own(t)
+	case leader != "" && s.send(t, leader):
+	case alone:
+		s.own(t)
+	}
+}
+
+// own makes this daemon work on the request.
+func (s *Scheduler) own(t *Ticket) {
+	t.owner = s.Host
+	s.submit(s.Host, t.current())
+}
+
+// send hands the request to another daemon and reports whether it could.
+func (s *Scheduler) send(t *Ticket, leader string) bool {
+	incarnation := s.Mesh.Incarnation(leader)
+	if incarnation == "" || !s.Mesh.Send(leader, &clusterpb.Envelope{Kind: &clusterpb.Envelope_Submit{Submit: encodeJob(s.Clock.Now(), t.current())}}) {
+		return false
 	}
+	t.owner, t.incarnation = leader, incarnation
+	return true
+}
+
+// current is the request as another daemon must go on with it.
+func (t *Ticket) current() Job {
 	job := t.job
 	job.Generation.Exclude = t.excluded
-	if leader == "" || leader == s.Host {
-		t.owner = s.Host
-		s.submit(s.Host, job)
-		return
-	}
-	if s.Mesh.Send(leader, &clusterpb.Envelope{Kind: &clusterpb.Envelope_Submit{Submit: encodeJob(s.Clock.Now(), job)}}) {
-		t.owner = leader
-		return
-	}
-	if s.Clock.Since(t.asked) >= ownWorkAfter {
-		t.owner = s.Host
-		s.submit(s.Host, job)
+	passed := t.scheduler.Clock.Since(t.runningAt)
+	job.Running = nil
+	for _, r := range t.running {
+		r.Left = max(r.Left-passed, 0)
+		job.Running = append(job.Running, r)
 	}
+	return job
 }
 
-// checkTickets moves waiting requests whose owner is gone.
+// checkTickets moves requests whose owner is gone.
 func (s *Scheduler) checkTickets() {
 	for _, t := range s.tickets {
-		if !t.waiting {
-			continue
-		}
-		if t.owner != "" && t.owner != s.Host && !s.Mesh.IsAlive(t.owner) {
-			t.owner = ""
+		if t.owner != "" && !s.ownerLives(t) {
+			t.owner, t.former, t.running = "", "", nil
 		}
 		if t.owner == "" {
 			s.place(t)
@@ -149,24 +178,6 @@
 	}
 }
 
-// report tells the daemon that holds the client of results that were made.
-func (s *Scheduler) report(origin string, p dispatch.Progress) {
-	if origin == s.Host {
-		s.progress(s.Host, p.Job, p.Done)
-		return
-	}
-	s.Mesh.Send(origin, &clusterpb.Envelope{Kind: &clusterpb.Envelope_Progress{Progress: &clusterpb.Progress{
-		ID: p.Job, Done: encodeDone(s.Clock.Now(), p.Done),
-	}}})
-}
-
-// progress keeps results for the case that another daemon must go on from them.
-func (s *Scheduler) progress(from, id string, done []dispatch.Done) {
-	if t := s.tickets[id]; t != nil && t.owner == from {
-		t.job.Done = append(t.job.Done, done...)
-	}
-}
-
 // deliver gives an update to the request that waits for it.
 func (s *Scheduler) deliver(from, id string, u Update) {
 	t := s.tickets[id]
@@ -174,8 +185,11 @@
 		return
 	}
 	t.waiting = false
-	if _, refused := u.(Refused); refused {
-		t.job.Done = nil
+	switch u := u.(type) {
+	case Assigned:
+		t.job.Assigned = u.Target
+	case Refused:
+		t.job.Done, t.running = nil, nil
 	}
 	select {
 	case t.Updates <- u:
@@ -196,8 +210,14 @@
 	case *clusterpb.Envelope_Ended:
 		s.post(func() { s.end(k.Ended.GetID()) })
 	case *clusterpb.Envelope_Progress:
-		done := decodeDone(s.Clock.Now(), k.Progress.GetDone())
-		s.post(func() { s.progress(from, k.Progress.GetID(), done) })
+		p := dispatch.Progress{Job: k.Progress.GetID(), Done: decodeDone(s.Clock.Now(), k.Progress.GetDone()), Released: decodeReleased(k.Progress.GetReleased())}
+		s.post(func() { s.progress(from, p) })
+	case *clusterpb.Envelope_Moved:
+		m := dispatch.Moved{Job: k.Moved.GetID(), Running: decodeRunning(k.Moved.GetRunning())}
+		s.post(func() { s.takeMoved(from, m) })
+	case *clusterpb.Envelope_Resync:
+		ids := k.Resync.GetIDs()
+		s.post(func() { s.endOthers(from, ids) })
 	case *clusterpb.Envelope_Assigned:
 		u := Assigned{Target: k.Assigned.GetTarget(), Address: k.Assigned.GetAddress(), Inputs: k.Assigned.GetInputs()}
 		s.post(func() { s.deliver(from, k.Assigned.GetID(), u) })
@@ -207,98 +227,35 @@
 	}
 }
 
-func encodeDone(now time.Time, done []dispatch.Done) []*clusterpb.Done {
-	list := make([]*clusterpb.Done, 0, len(done))
-	for _, d := range done {
-		list = append(list, &clusterpb.Done{
-			Stage: int32(d.Stage), Index: int32(d.Index), Handle: d.Handle, Target: d.Target, AgeMillis: now.Sub(d.Made).Milliseconds(),
-		})
-	}
-	return list
-}
-
-func decodeDone(now time.Time, done []*clusterpb.Done) []dispatch.Done {
-	list := make([]dispatch.Done, 0, len(done))
-	for _, d := range done {
-		list = append(list, dispatch.Done{
-			Stage:  int(d.GetStage()),
-			Index:  int(d.GetIndex()),
-			Handle: d.GetHandle(),
-			Target: d.GetTarget(),
-			Made:   now.Add(-time.Duration(d.GetAgeMillis()) * time.Millisecond),
-		})
-	}
-	return list
-}
-
-func encodeJob(now time.Time, j Job) *clusterpb.Submit {
-	m := &clusterpb.Submit{
-		ID:             j.ID,
-		DataCentre:     j.DataCentre,
-		Key:            j.Key,
-		AimMillis:      j.Aim.Sub(now).Milliseconds(),
-		DeadlineMillis: j.Deadline.Sub(now).Milliseconds(),
-		Priority:       int64(j.Priority),
-		Worth:          j.Worth,
-		Generation: &clusterpb.Generation{
-			Service:      j.Generation.Service,
-			Model:        j.Generation.Model,
-			PromptTokens: int64(j.Generation.PromptTokens),
-			OutputTokens: int64(j.Generation.OutputTokens),
-		},
-	}
-	for _, st := range j.Stages {
-		stage := &clusterpb.Stage{Service: st.Service, Kind: st.Kind, Pieces: int32(st.Pieces), ResultBytes: st.ResultBytes}
-		for _, before := range st.After {
-			stage.After = append(stage.After, int32(before))
+// Linked says that a link to another daemon was opened. What was under way on the former
+// one is lost, so that the requests it works on are told again.
+func (s *Scheduler) Linked(host string) {
+	s.post(func() {
+		var ids []string
+		for id, t := range s.tickets {
+			if t.owner == host {
+				ids = append(ids, id)
+			}
 		}
-		m.Stages = append(m.Stages, stage)
-	}
-	for _, part := range j.Generation.Parts {
-		m.Generation.Parts = append(m.Generation.Parts, &clusterpb.Part{ID: part.ID, Tokens: int64(part.Tokens)})
-	}
-	m.Done = encodeDone(now, j.Done)
-	for id := range j.Generation.Exclude {
-		m.Generation.Excluded = append(m.Generation.Excluded, id)
-	}
-	return m
+		slices.Sort(ids)
+		s.Mesh.Send(host, &clusterpb.Envelope{Kind: &clusterpb.Envelope_Resync{Resync: &clusterpb.Resync{IDs: ids}}})
+		for _, id := range ids {
+			if t := s.tickets[id]; !s.send(t, host) {
+				t.owner = "" // placed again by checkTickets
+			}
+		}
+	})
 }
 
-func decodeJob(now time.Time, m *clusterpb.Submit) Job {
-	g := m.GetGeneration()
-	j := Job{
-		ID:         m.GetID(),
-		DataCentre: m.GetDataCentre(),
-		Key:        m.GetKey(),
-		Aim:        now.Add(time.Duration(m.GetAimMillis()) * time.Millisecond),
-		Deadline:   now.Add(time.Duration(m.GetDeadlineMillis()) * time.Millisecond),
-		Priority:   int(m.GetPriority()),
-		Worth:      m.GetWorth(),
-		Generation: placement.Request{
-			ID:           m.GetID(),
-			Service:      g.GetService(),
-			Model:        g.GetModel(),
-			PromptTokens: int(g.GetPromptTokens()),
-			OutputTokens: int(g.GetOutputTokens()),
-			DataCentre:   m.GetDataCentre(),
-			Exclude:      map[string]bool{},
-		},
+// endOthers ends the requests of a daemon that it no longer has.
+func (s *Scheduler) endOthers(origin string, ids []string) {
+	present := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		present[id] = true
 	}
-	for i, st := range m.GetStages() {
-		stage := dispatch.Stage{Service: st.GetService(), Kind: st.GetKind(), Pieces: int(st.GetPieces()), ResultBytes: st.GetResultBytes()}
-		for _, before := range st.GetAfter() {
-			if before >= 0 && int(before) < i {
-				stage.After = append(stage.After, int(before))
-			}
+	for id, o := range s.owned {
+		if o.origin == origin && !present[id] {
+			s.end(id)
 		}
-		j.Stages = append(j.Stages, stage)
-	}
-	for _, part := range g.GetParts() {
-		j.Generation.Parts = append(j.Generation.Parts, placement.Part{ID: part.GetID(), Tokens: int(part.GetTokens())})
-	}
-	j.Done = decodeDone(now, m.GetDone())
-	for _, id := range g.GetExcluded() {
-		j.Generation.Exclude[id] = true
 	}
-	return j
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -161,6 +161,13 @@
 	return append([]string(nil), s.violations...)
 }
 
+// Made returns the number of results that were made.
+func (s *Server) Made() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.made
+}
+
 // Held returns the number of results that are kept.
 func (s *Server) Held() int {
 	s.mu.Lock()
