feat(placement): pace the requests to cold targets by their rate

Cause: a cold target was only made expensive, so that nothing bounded its requests when others were full or all were cold; the rule allows 1.5 times its rate and 5 over all daemons. The leader now holds an engine to its rate with a quarter of it as burst, and keeps requests waiting that only the rate holds back; for plain requests each daemon has its part of the rate, begun at a random moment so that the first requests of all daemons don't meet. The reuse time of prompt parts comes from the settings.

Ruled out: one owner for each cold target (daemons without one could serve nothing when all are cold).

--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -67,7 +67,7 @@
 		engines = append(engines, e.Engine)
 	}
 	for i, p := range w.planners {
-		w.boards[i].SetEngines(engines)
+		w.boards[i].SetEngines(w.time(), engines)
 		w.perform(i, p.SetTargets(w.time(), targets))
 	}
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -168,7 +168,14 @@
 		Log:           h.log,
 		Configuration: h.version,
 	}
-	h.scheduler = &scheduler.Scheduler{Host: s.Host, Mesh: h.mesh, Pool: h.pool, Clock: h.Clock, Log: h.log}
+	h.scheduler = &scheduler.Scheduler{
+		Host:       s.Host,
+		Mesh:       h.mesh,
+		Pool:       h.pool,
+		Clock:      h.Clock,
+		Log:        h.log,
+		CacheReuse: s.Bounds.CacheReuse,
+	}
 	h.scheduler.Init()
 	h.forwarder = &forward.Forwarder{
 		Table:      h.table.Load,
--- a/internal/entry/world.go
+++ b/internal/entry/world.go
@@ -60,20 +60,30 @@
 			})
 		default:
 			engines = append(engines, placement.Engine{
-				ID:         t.ID,
-				Service:    t.Service,
-				Address:    t.Address,
-				DataCentre: t.DataCentre,
-				Born:       t.Born,
-				Closed:     !t.Usable(),
-				Cold:       t.Cold,
-				Suspect:    t.Suspect,
+				ID:            t.ID,
+				Service:       t.Service,
+				Address:       t.Address,
+				DataCentre:    t.DataCentre,
+				Born:          t.Born,
+				Closed:        !t.Usable(),
+				Cold:          t.Cold,
+				ColdPerSecond: h.coldRate(s),
+				Suspect:       t.Suspect,
 			})
 		}
 	}
 	h.scheduler.SetWorld(services, targets, engines)
 }
 
+// coldRate is the rate of requests that this daemon may assign to a cold engine; 0 means
+// without bound. Without a leader all daemons share the rate.
+func (h *Host) coldRate(s service.Service) float64 {
+	if h.mesh.Leader() == "" {
+		return s.ColdPerSecond / float64(max(h.daemons(), 1))
+	}
+	return s.ColdPerSecond
+}
+
 // Receive implements cluster.Handler.
 func (h *Host) Receive(from string, e *clusterpb.Envelope) {
 	switch k := e.GetKind().(type) {
--- /dev/null
+++ b/internal/forward/budget_test.go
@@ -0,0 +1,51 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// newBudget returns a budget of a fifth and 10 repeats in 10 s, shared by five daemons.
+func newBudget(clock clockwork.Clock) *Budget {
+	return &Budget{Clock: clock, Ratio: 0.2, Slack: 10, Window: 10 * time.Second, Daemons: func() int { return 5 }}
+}
+
+func TestRepeatsStayUnderTheSharedBound(t *testing.T) {
+	b := newBudget(clockwork.NewFakeClock())
+	for range 100 {
+		b.First("llm")
+	}
+	repeats := 0
+	for range 100 {
+		if b.Repeat("llm") {
+			repeats++
+		}
+	}
+	// This daemon has a fifth of the slack.
+	if most := 0.2*100 + 10.0/5; repeats == 0 || float64(repeats) > most {
+		t.Errorf("%d repeats, want some, and %v at most", repeats, most)
+	}
+	if b.Allows("llm") {
+		t.Error("one more repeat is allowed")
+	}
+	if !b.Allows("other") {
+		t.Error("a service without repeats has its slack")
+	}
+}
+
+func TestRepeatsComeBackWithTheWindow(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := newBudget(clock)
+	for b.Repeat("llm") {
+	}
+	clock.Advance(9 * time.Second)
+	if b.Allows("llm") {
+		t.Error("a repeat is allowed inside the window")
+	}
+	clock.Advance(2 * time.Second)
+	if !b.Allows("llm") {
+		t.Error("no repeat is allowed after the window")
+	}
+}
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/sequoiapick/sequoiapick/internal/inventory"
 	"github.com/sequoiapick/sequoiapick/platform"
 )
@@ -19,6 +21,8 @@
 	suspectPenalty = 1000
 	// coldPenalty keeps requests away from cold targets while others have room.
 	coldPenalty = 100
+	// coldBurst is the part of the requests of a second that a cold target may get at once.
+	coldBurst = 0.25
 )
 
 // loads is what this daemon knows of the load of targets that run plain requests.
@@ -33,6 +37,8 @@
 	// others is the load reported by the target without this daemon's requests.
 	others   int
 	reported time.Time
+	// cold paces the requests while the target is cold.
+	cold *rate.Limiter
 }
 
 func (l *loads) get(id string) *targetLoad {
@@ -64,22 +70,58 @@
 	}
 }
 
-// choose returns the usable target with the least load.
-func (l *loads) choose(now time.Time, targets []inventory.Target, dataCentre string, tried map[string]bool) (inventory.Target, bool) {
+// choice is what a target is chosen from.
+type choice struct {
+	targets    []inventory.Target
+	dataCentre string
+	// tried are the targets that the request was sent to before.
+	tried map[string]bool
+	// coldShare is the rate of requests that this daemon may send to a cold target; 0 means
+	// without bound.
+	coldShare float64
+}
+
+// choose returns the usable target with the least load. Paced says, if there is none, that
+// some cold target will bear one more request soon.
+func (l *loads) choose(now time.Time, c choice) (best inventory.Target, found, paced bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var best inventory.Target
-	found, lowest := false, 0.0
-	for _, t := range targets {
-		if !t.Usable() || tried[t.ID] {
+	lowest := 0.0
+	for _, t := range c.targets {
+		if !t.Usable() || c.tried[t.ID] {
 			continue
 		}
-		cost := l.cost(now, t, dataCentre) + rand.Float64()*0.1
+		if !l.get(t.ID).bears(now, t, c.coldShare) {
+			paced = true
+			continue
+		}
+		cost := l.cost(now, t, c.dataCentre) + rand.Float64()*0.1
 		if !found || cost < lowest {
 			best, found, lowest = t, true, cost
 		}
 	}
-	return best, found
+	if found && l.get(best.ID).cold != nil {
+		l.get(best.ID).cold.AllowN(now, 1)
+	}
+	return best, found, paced
+}
+
+// bears reports whether this daemon may send one more request to the target now.
+func (s *targetLoad) bears(now time.Time, t inventory.Target, share float64) bool {
+	if !t.Cold || share <= 0 {
+		s.cold = nil
+		return true
+	}
+	limit := rate.Limit(share)
+	if s.cold == nil {
+		s.cold = rate.NewLimiter(limit, max(int(coldBurst*share), 1))
+		// The daemons begin at different moments, so that their first requests don't meet.
+		s.cold.AllowN(now.Add(-time.Duration(rand.Float64()/share*float64(time.Second))), s.cold.Burst())
+	}
+	if s.cold.Limit() != limit {
+		s.cold.SetLimitAt(now, limit)
+	}
+	return s.cold.TokensAt(now) >= 1
 }
 
 func (l *loads) cost(now time.Time, t inventory.Target, dataCentre string) float64 {
--- /dev/null
+++ b/internal/forward/load_test.go
@@ -0,0 +1,86 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/inventory"
+)
+
+// firstDay is the start of the tests' time.
+var firstDay = time.Unix(1_000_000, 0)
+
+func coldTargets(ids ...string) []inventory.Target {
+	var targets []inventory.Target
+	for _, id := range ids {
+		targets = append(targets, inventory.Target{ID: id, Slots: 6, Cold: true})
+	}
+	return targets
+}
+
+func TestDaemonsTogetherStayUnderTheRateOfColdTargets(t *testing.T) {
+	const daemons, perSecond = 9, 2.0
+	targets := coldTargets("a", "b")
+	all := make([]loads, daemons)
+	sent := map[string][]time.Time{}
+	for step := range 5000 {
+		now := firstDay.Add(time.Duration(step) * 20 * time.Millisecond)
+		for i := range all {
+			target, ok, paced := all[i].choose(now, choice{targets: targets, coldShare: perSecond / daemons})
+			if ok {
+				sent[target.ID] = append(sent[target.ID], now)
+			} else if !paced {
+				t.Fatal("no target, and none that only its rate holds back")
+			}
+		}
+	}
+	for id, times := range sent {
+		if got := float64(len(times)); got < 0.9*100*perSecond || got > 100*perSecond+daemons {
+			t.Errorf("target %s had %v requests in 100 s, want about %v", id, got, 100*perSecond)
+		}
+		for i, from := range times {
+			count := 0
+			for _, other := range times[i:] {
+				if other.Sub(from) < time.Second {
+					count++
+				}
+			}
+			// The bound of the platform is 1.5 times the rate and 5.
+			if float64(count) > 1.5*perSecond+5 {
+				t.Errorf("target %s had %d requests in a second", id, count)
+			}
+		}
+	}
+}
+
+func TestWarmTargetGoesBeforeColdOnes(t *testing.T) {
+	var l loads
+	targets := append(coldTargets("cold"), inventory.Target{ID: "warm", Slots: 1})
+	for range 8 {
+		got, ok, _ := l.choose(firstDay, choice{targets: targets, coldShare: 1})
+		if !ok || got.ID != "warm" {
+			t.Errorf("chose %q, want the warm target", got.ID)
+		}
+		l.begin(got.ID)
+	}
+}
+
+func TestLeastLoadedTargetIsChosen(t *testing.T) {
+	var l loads
+	targets := []inventory.Target{{ID: "a", Slots: 2}, {ID: "b", Slots: 2}, {ID: "gone", Slots: 2, Draining: true}}
+	counts := map[string]int{}
+	for range 12 {
+		got, ok, _ := l.choose(firstDay, choice{targets: targets})
+		if !ok {
+			t.Fatal("no target")
+		}
+		l.begin(got.ID)
+		counts[got.ID]++
+	}
+	if counts["a"] != 6 || counts["b"] != 6 {
+		t.Errorf("requests went to %v, want 6 to each usable target", counts)
+	}
+	if got, ok, _ := l.choose(firstDay, choice{targets: targets, tried: map[string]bool{"a": true, "b": true}}); ok {
+		t.Errorf("chose %q again", got.ID)
+	}
+}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -18,6 +18,8 @@
 	bufferedBytes = 256 << 10
 	// busyRetryAfter is when a request that found all targets full may come again.
 	busyRetryAfter = 200 * time.Millisecond
+	// coldWait is the time between two looks at whether a cold target bears one more request.
+	coldWait = 20 * time.Millisecond
 	// noUrgency leaves the urgency out.
 	noUrgency = -1
 )
@@ -26,7 +28,11 @@
 func (q *run) plain(ctx context.Context) {
 	last := problem.New(problem.Unavailable, "no usable target")
 	for ctx.Err() == nil {
-		target, ok := q.f.load.choose(q.f.Clock.Now(), q.f.Inventory.Targets(q.service), q.f.DataCentre, q.tried)
+		target, ok, paced := q.choose()
+		if paced && !ok {
+			q.f.sleep(ctx, coldWait)
+			continue
+		}
 		if !ok || !q.maySend() {
 			break
 		}
@@ -43,6 +49,24 @@
 	q.giveUp(ctx, last, busyRetryAfter)
 }
 
+// choose returns the target for the next send, see loads.choose.
+func (q *run) choose() (target inventory.Target, found, paced bool) {
+	return q.f.load.choose(q.f.Clock.Now(), choice{
+		targets:    q.f.Inventory.Targets(q.service),
+		dataCentre: q.f.DataCentre,
+		tried:      q.tried,
+		coldShare:  q.table.Services[q.service].ColdPerSecond / float64(max(q.f.Budget.Daemons(), 1)),
+	})
+}
+
+// sleep waits, but not beyond the end of the context.
+func (f *Forwarder) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.Clock.After(d):
+	}
+}
+
 // plainOnce sends the request to one target and reports whether the client was answered.
 func (q *run) plainOnce(ctx context.Context, target inventory.Target) (done bool, err error) {
 	f := q.f
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -11,7 +11,7 @@
 // # Usage
 //
 //	b := placement.New()
-//	b.SetEngines(engines)
+//	b.SetEngines(now, engines)
 //	e, ok := b.Choose(now, request)
 //	b.Ended(request.ID)
 package placement
@@ -19,6 +19,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/sequoiapick/sequoiapick/pkg/service"
 )
 
@@ -31,8 +33,11 @@
 	Born       int64
 	// Closed says that no new request may go to the engine.
 	Closed bool
-	// Cold says that the engine has started lately and bears little.
+	// Cold says that the engine has started lately and is slower.
 	Cold bool
+	// ColdPerSecond is the rate of requests that the engine bears while it is cold; 0 means
+	// without bound.
+	ColdPerSecond float64
 	// Suspect says that the engine failed lately.
 	Suspect bool
 }
@@ -96,6 +101,33 @@
 	// reading is the number of prompt tokens of requests that haven't begun to answer.
 	reading map[string]int
 	cache   cache
+	// cold paces the requests while the engine is cold.
+	cold *rate.Limiter
+}
+
+// coldBurst is the part of the requests of a second that a cold engine may get at once;
+// together with the rate it stays under the one and a half times that engines bear.
+const coldBurst = 0.25
+
+// pace sets the rate of a cold engine.
+func (e *engine) pace(now time.Time) {
+	if !e.Cold || e.ColdPerSecond <= 0 {
+		e.cold = nil
+		return
+	}
+	limit := rate.Limit(e.ColdPerSecond)
+	if e.cold == nil {
+		e.cold = rate.NewLimiter(limit, max(int(coldBurst*e.ColdPerSecond), 1))
+		return
+	}
+	if e.cold.Limit() != limit {
+		e.cold.SetLimitAt(now, limit)
+	}
+}
+
+// bears reports whether the engine may get one more request now.
+func (e *engine) bears(now time.Time) bool {
+	return e.cold == nil || e.cold.TokensAt(now) >= 1
 }
 
 // New returns an empty board.
@@ -120,7 +152,7 @@
 }
 
 // SetEngines sets the engines; those that are missing are gone.
-func (b *Board) SetEngines(engines []Engine) {
+func (b *Board) SetEngines(now time.Time, engines []Engine) {
 	present := map[string]bool{}
 	for _, e := range engines {
 		present[e.ID] = true
@@ -131,6 +163,7 @@
 		}
 		state.Engine = e
 		state.cache.limit = b.services[e.Service].CacheTokens
+		state.pace(now)
 	}
 	for id := range b.engines {
 		if !present[id] {
@@ -147,9 +180,28 @@
 		return Engine{}, false
 	}
 	b.put(now, r, best)
+	if best.cold != nil {
+		best.cold.AllowN(now, 1)
+	}
 	return best.Engine, true
 }
 
+// WaitsForCold reports whether the request has an engine that only the rate of cold
+// engines holds back.
+func (b *Board) WaitsForCold(now time.Time, r Request) bool {
+	for _, e := range b.engines {
+		if e.takes(r) && !e.bears(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// takes reports whether the request may go to the engine at all.
+func (e *engine) takes(r Request) bool {
+	return e.Service == r.Service && !e.Closed && !r.Exclude[e.ID]
+}
+
 // put counts the request as sent to the engine.
 func (b *Board) put(now time.Time, r Request, e *engine) {
 	e.running[r.ID] = true
@@ -189,7 +241,7 @@
 	var best *engine
 	var lowest float64
 	for _, e := range b.engines {
-		if e.Service != r.Service || e.Closed || r.Exclude[e.ID] {
+		if !e.takes(r) || !e.bears(now) {
 			continue
 		}
 		cost := b.cost(now, e, r)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -16,7 +16,10 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -103,6 +106,9 @@
 	Log   event.Log
 	// Metrics may be nil.
 	Metrics *metric.Entry
+	// CacheReuse is the time after its last use within which reading a prompt part again
+	// costs; 0 leaves the default.
+	CacheReuse time.Duration
 
 	events  chan func()
 	planner *dispatch.Planner
@@ -125,6 +131,8 @@
 	expires    time.Time
 	// assigned is the engine that was chosen last.
 	assigned *Assigned
+	// held says that the request waits for a cold engine to bear one more.
+	held bool
 }
 
 // Init prepares the scheduler; it must be called before any other method.
@@ -132,6 +140,9 @@
 	s.events = make(chan func(), queueLength)
 	s.planner = dispatch.New()
 	s.board = placement.New()
+	if s.CacheReuse > 0 {
+		s.board.Reuse = s.CacheReuse
+	}
 	s.owned = map[string]*owned{}
 	s.moved = map[string]string{}
 	s.tickets = map[string]*Ticket{}
@@ -159,6 +170,7 @@
 		case <-check.Chan():
 			s.checkTickets()
 			s.expire()
+			s.assignHeld()
 		}
 	}
 }
@@ -173,7 +185,7 @@
 	s.post(func() {
 		s.planner.SetServices(services)
 		s.board.SetServices(services)
-		s.board.SetEngines(engines)
+		s.board.SetEngines(s.Clock.Now(), engines)
 		s.perform(s.planner.SetTargets(s.Clock.Now(), targets))
 	})
 }
@@ -278,7 +290,12 @@
 
 // assign chooses the engine and tells the daemon that holds the client.
 func (s *Scheduler) assign(id string, o *owned) {
-	engine, ok := s.board.Choose(s.Clock.Now(), o.generation)
+	now := s.Clock.Now()
+	engine, ok := s.board.Choose(now, o.generation)
+	o.held = !ok && s.board.WaitsForCold(now, o.generation)
+	if o.held {
+		return // assigned by assignHeld
+	}
 	if !ok {
 		s.Log.Emit(event.JobRejected, "Request", id, "Origin", o.origin, "Reason", string(dispatch.NoTarget), "Service", o.generation.Service,
 			"Excluded", len(o.generation.Exclude), "Steps", o.steps)
@@ -291,6 +308,23 @@
 	s.answer(o.origin, id, *o.assigned)
 }
 
+// assignHeld chooses engines for the requests that cold engines couldn't take yet, those
+// with the nearest deadline first.
+func (s *Scheduler) assignHeld() {
+	var ids []string
+	for id, o := range s.owned {
+		if o.held {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(s.owned[a].expires.Compare(s.owned[b].expires), strings.Compare(a, b))
+	})
+	for _, id := range ids {
+		s.assign(id, s.owned[id])
+	}
+}
+
 // noTargetRetry is the time after which a request without a usable target may come again.
 const noTargetRetry = 500 * time.Millisecond
 
@@ -309,7 +343,7 @@
 		return
 	}
 	s.board.Ended(id)
-	o.assigned = nil
+	o.assigned, o.held = nil, false
 	if failed != "" {
 		if o.generation.Exclude == nil {
 			o.generation.Exclude = map[string]bool{}
