feat(cluster): elect as soon as every hub was heard since the start

All had heard each other after 0.1 s.

Ruled out: shortening that time (a daemon that can't reach a hub must still wait for it). Change: a hub may claim once every other hub was heard or its port refuses connections, if members are known from the store.

--- a/internal/cluster/beat.go
+++ b/internal/cluster/beat.go
@@ -20,8 +20,9 @@
 	slowSilenceLimit = 1100 * time.Millisecond
 	// electionPatience is the time without a leader after which a daemon claims.
 	electionPatience = 150 * time.Millisecond
-	// startPatience is the time after its start in which a hub doesn't claim, and
-	// slowStartPatience that of another daemon, which leads only if it reaches no hub.
+	// startPatience is the time after its start in which a hub doesn't claim unless it has
+	// heard from all others, and slowStartPatience that of another daemon, which leads only
+	// if it reaches no hub.
 	startPatience     = 500 * time.Millisecond
 	slowStartPatience = 2 * time.Second
 	// sentLength is the number of beats whose time is kept.
@@ -158,8 +159,12 @@
 		})
 	}
 	led := m.election.Term() > 0
-	m.election.NotBefore = m.began.Add(slowStartPatience)
-	if candidates[0].Hub {
+	switch {
+	case !candidates[0].Hub:
+		m.election.NotBefore = m.began.Add(slowStartPatience)
+	case m.settled(now):
+		m.election.NotBefore = m.began
+	default:
 		m.election.NotBefore = m.began.Add(startPatience)
 	}
 	leader := m.election.Step(now, candidates, departed)
--- a/internal/cluster/mesh.go
+++ b/internal/cluster/mesh.go
@@ -88,8 +88,10 @@
 	election Election
 	leader   string
 	stopping bool
-	sent     sendTimes
-	ended    sync.WaitGroup
+	// listed says that the other registered members are known.
+	listed bool
+	sent   sendTimes
+	ended  sync.WaitGroup
 }
 
 // Serve runs the links until the context ends.
@@ -149,9 +151,24 @@
 			m.forget(host)
 		}
 	}
+	m.listed = m.listed || len(present) > 0
 	m.contact(now)
 }
 
+// settled reports whether a leader can't have been missed since the start: every hub was
+// heard, or its port refuses connections.
+func (m *Mesh) settled(now time.Time) bool {
+	if !m.listed {
+		return false
+	}
+	for host := range m.hubs(now) {
+		if p := m.peers[host]; p == nil || p.heardAt.IsZero() && !p.refused {
+			return false
+		}
+	}
+	return true
+}
+
 // learn takes what is told of a member, and reports whether it is new.
 func (m *Mesh) learn(member Member) bool {
 	old, known := m.known[member.Host]
--- a/internal/cluster/mesh_test.go
+++ b/internal/cluster/mesh_test.go
@@ -166,3 +166,65 @@
 		return next != "" && next != leader
 	})
 }
+
+// TestFreshStartElectsAsSoonAsAllAreHeard starts all daemons at once, as after a loss of
+// power: nobody leads, and each knows so when it has heard the others.
+func TestFreshStartElectsAsSoonAsAllAreHeard(t *testing.T) {
+	began := time.Now()
+	startMesh(t, 5)
+	if took := time.Since(began); took > startPatience-beatInterval {
+		t.Errorf("a leader after %v, want one before the %v of a daemon that hasn't heard all", took, startPatience)
+	}
+}
+
+// TestRestartedDaemonFollowsTheLeader starts the best-ranked daemon anew.
+func TestRestartedDaemonFollowsTheLeader(t *testing.T) {
+	daemons := startMesh(t, 5)
+	leader := commonLeader(daemons)
+	var rest []*daemon
+	var members []Member
+	var old *daemon
+	for _, d := range daemons {
+		members = append(members, d.mesh.Self)
+		if d.mesh.Self.Host == leader {
+			old = d
+			d.kill()
+			continue
+		}
+		rest = append(rest, d)
+	}
+	waitFor(t, silenceLimit, "another leader", func() bool {
+		next := commonLeader(rest)
+		return next != "" && next != leader
+	})
+	next := commonLeader(rest)
+	<-old.ended
+	old.ended <- nil // for the cleanup of the first start
+	listener, err := net.Listen("tcp", old.mesh.Self.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	member := old.mesh.Self
+	member.Incarnation = "2"
+	again := &daemon{listener: &resettable{Listener: listener}, ended: make(chan error, 1)}
+	again.mesh = &Mesh{Self: member, Clock: clockwork.NewRealClock(), Handler: again, Configuration: func() int64 { return 1 }}
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { again.ended <- again.mesh.Serve(ctx, again.listener) }()
+	t.Cleanup(func() {
+		cancel()
+		<-again.ended
+	})
+	waitFor(t, time.Second, "the new start follows", func() bool {
+		again.mesh.SetMembers(members)
+		return again.mesh.Leader() == next
+	})
+	time.Sleep(2 * startPatience)
+	for _, followed := range again.followed(0) {
+		if followed != next {
+			t.Errorf("the new start followed %q, %s leads", followed, next)
+		}
+	}
+	if commonLeader(rest) != next {
+		t.Errorf("the others follow %q, want %s", commonLeader(rest), next)
+	}
+}
