test(entry): leave a client's work to nothing but its cancelling

Cause: the ablation of cancelling still passed, since the server's silence ended the send 0.6 s after it began, before the check. The spec now gives the route an aim of 3 s; without the mechanism the servers still work when it looks.

--- a/test/entry/rules_test.go
+++ b/test/entry/rules_test.go
@@ -357,6 +357,9 @@
 
 	It("GONE: stops the work of a client that leaves", func() {
 		f := newFleet(1)
+		f.routes[0]["targetLatencyMs"] = 3000 // so that no silence of the server ends the work
+		f.configure()
+		time.Sleep(bound)
 		for _, s := range f.of("desk") {
 			s.SetFault(service.Fault{Hang: 5})
 		}
