--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -202,11 +202,12 @@
 	}
 }
 
-// rejectBehind rejects the jobs that haven't begun, can't be on time and find nothing left
-// for late work.
+// rejectBehind rejects the jobs that can't be on time and find nothing left for late work:
+// those that haven't begun, and those that have and are late already. Held on, they would
+// be given up at their deadline, with results in rooms that others need until then.
 func (p *Planner) rejectBehind(now time.Time, jobs []*job, outlooks map[string]*outlook) {
 	for _, j := range jobs {
-		if !j.behind || j.begun {
+		if !j.behind || j.begun && now.Before(j.Aim) {
 			continue
 		}
 		o := outlooks[j.scarcest]
--- a/internal/dispatch/admit_test.go
+++ b/internal/dispatch/admit_test.go
@@ -80,3 +80,35 @@
 		t.Error("nothing was rejected")
 	}
 }
+
+// TestBegunWorkThatIsLateLeavesItsRoom begins a job that then becomes late, while the
+// second stage has more than it can do for jobs that can be on time: it must not wait for
+// its deadline with its results in the first stage's room.
+func TestBegunWorkThatIsLateLeavesItsRoom(t *testing.T) {
+	p := planner(0, target("f1", "first", "a"), target("f2", "first", "a"), target("s", "second", "a"))
+	// The job before it keeps the second stage busy.
+	first := calls(p.Submit(begin, chain("before")))
+	slow := chain("slow")
+	slow.Aim = begin.Add(300 * time.Millisecond)
+	first = append(first, calls(p.Submit(begin, slow))...)
+	now := begin.Add(400 * time.Millisecond)
+	for i := range 40 {
+		j := chain(fmt.Sprintf("j%d", i))
+		j.Aim, j.Deadline = now.Add(2*time.Second), now.Add(6*time.Second)
+		j.Stages[1].Pieces = 4
+		p.Submit(now, j)
+	}
+	actions := succeed(p, now, first[0])
+	actions = append(actions, succeed(p, now, first[1])...)
+	actions = append(actions, p.Tick(now.Add(20*time.Millisecond))...)
+	for _, r := range rejected(actions) {
+		if r.Job != "slow" {
+			continue
+		}
+		if r.Reason != dispatch.Overloaded || len(freed(actions)) < 2 {
+			t.Errorf("rejected as %+v, freed %v", r, freed(actions))
+		}
+		return
+	}
+	t.Error("the late job waits for its deadline")
+}
