refactor(pace): one bound for cold targets instead of two

Cause: the engines' board and the plain requests each had a limiter of their own with the same rules, and the same burst constant twice. Ruled out: the library's limiter in both places, the draw of the first moment isn't in it.

--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -5,9 +5,8 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/sequoiapick/sequoiapick/internal/inventory"
+	"github.com/sequoiapick/sequoiapick/internal/pace"
 	"github.com/sequoiapick/sequoiapick/platform"
 )
 
@@ -21,8 +20,6 @@
 	suspectPenalty = 1000
 	// coldPenalty keeps requests away from cold targets while others have room.
 	coldPenalty = 100
-	// coldBurst is the part of the requests of a second that a cold target may get at once.
-	coldBurst = 0.25
 )
 
 // loads is what this daemon knows of the load of targets that run plain requests.
@@ -37,8 +34,8 @@
 	// others is the load reported by the target without this daemon's requests.
 	others   int
 	reported time.Time
-	// cold paces the requests while the target is cold.
-	cold *rate.Limiter
+	// cold bounds the requests of this daemon while the target is cold.
+	cold pace.Limit
 }
 
 func (l *loads) get(id string) *targetLoad {
@@ -91,7 +88,13 @@
 		if !t.Usable() || c.tried[t.ID] {
 			continue
 		}
-		if !l.get(t.ID).bears(now, t, c.coldShare) {
+		cold := &l.get(t.ID).cold
+		if t.Cold {
+			cold.Set(now, c.coldShare, rand.Float64())
+		} else {
+			cold.Set(now, 0, 0)
+		}
+		if !cold.Bears(now) {
 			paced = true
 			continue
 		}
@@ -100,30 +103,12 @@
 			best, found, lowest = t, true, cost
 		}
 	}
-	if found && l.get(best.ID).cold != nil {
-		l.get(best.ID).cold.AllowN(now, 1)
+	if found {
+		l.get(best.ID).cold.Sent(now)
 	}
 	return best, found, paced
 }
 
-// bears reports whether this daemon may send one more request to the target now.
-func (s *targetLoad) bears(now time.Time, t inventory.Target, share float64) bool {
-	if !t.Cold || share <= 0 {
-		s.cold = nil
-		return true
-	}
-	limit := rate.Limit(share)
-	if s.cold == nil {
-		s.cold = rate.NewLimiter(limit, max(int(coldBurst*share), 1))
-		// The daemons begin at different moments, so that their first requests don't meet.
-		s.cold.AllowN(now.Add(-time.Duration(rand.Float64()/share*float64(time.Second))), s.cold.Burst())
-	}
-	if s.cold.Limit() != limit {
-		s.cold.SetLimitAt(now, limit)
-	}
-	return s.cold.TokensAt(now) >= 1
-}
-
 func (l *loads) cost(now time.Time, t inventory.Target, dataCentre string) float64 {
 	state := l.get(t.ID)
 	busy := float64(state.running)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -19,8 +19,7 @@
 import (
 	"time"
 
-	"golang.org/x/time/rate"
-
+	"github.com/sequoiapick/sequoiapick/internal/pace"
 	"github.com/sequoiapick/sequoiapick/pkg/service"
 )
 
@@ -101,33 +100,16 @@
 	// reading is the number of prompt tokens of requests that haven't begun to answer.
 	reading map[string]int
 	cache   cache
-	// cold paces the requests while the engine is cold.
-	cold *rate.Limiter
+	// cold bounds the requests while the engine is cold.
+	cold pace.Limit
 }
 
-// coldBurst is the part of the requests of a second that a cold engine may get at once;
-// together with the rate it stays under the one and a half times that engines bear.
-const coldBurst = 0.25
-
-// pace sets the rate of a cold engine.
-func (e *engine) pace(now time.Time) {
-	if !e.Cold || e.ColdPerSecond <= 0 {
-		e.cold = nil
-		return
-	}
-	limit := rate.Limit(e.ColdPerSecond)
-	if e.cold == nil {
-		e.cold = rate.NewLimiter(limit, max(int(coldBurst*e.ColdPerSecond), 1))
-		return
+// coldRate is the rate that bounds the requests to the engine now; 0 means none does.
+func (e *engine) coldRate() float64 {
+	if !e.Cold {
+		return 0
 	}
-	if e.cold.Limit() != limit {
-		e.cold.SetLimitAt(now, limit)
-	}
-}
-
-// bears reports whether the engine may get one more request now.
-func (e *engine) bears(now time.Time) bool {
-	return e.cold == nil || e.cold.TokensAt(now) >= 1
+	return e.ColdPerSecond
 }
 
 // New returns an empty board.
@@ -163,7 +145,7 @@
 		}
 		state.Engine = e
 		state.cache.limit = b.services[e.Service].CacheTokens
-		state.pace(now)
+		state.cold.Set(now, state.coldRate(), 0)
 	}
 	for id := range b.engines {
 		if !present[id] {
@@ -180,9 +162,7 @@
 		return Engine{}, false
 	}
 	b.put(now, r, best)
-	if best.cold != nil {
-		best.cold.AllowN(now, 1)
-	}
+	best.cold.Sent(now)
 	return best.Engine, true
 }
 
@@ -190,7 +170,7 @@
 // engines holds back.
 func (b *Board) WaitsForCold(now time.Time, r Request) bool {
 	for _, e := range b.engines {
-		if e.takes(r) && !e.bears(now) {
+		if e.takes(r) && !e.cold.Bears(now) {
 			return true
 		}
 	}
@@ -241,7 +221,7 @@
 	var best *engine
 	var lowest float64
 	for _, e := range b.engines {
-		if !e.takes(r) || !e.bears(now) {
+		if !e.takes(r) || !e.cold.Bears(now) {
 			continue
 		}
 		cost := b.cost(now, e, r)
