feat(scheduler): the leader hears of engines that others saw fail

Cause: suspicion came from a daemon's own sends only. The leader chooses the engines and carries a ninth of the clients, so that every daemon ran into a silent engine by itself until its entry was gone (3.6 s). Failures that speak against an engine now come with the request for another one, whole answers with the end of the request.

Ruled out: suspecting at the first failure (a lost connection says little).

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -175,6 +175,8 @@
 		Clock:      h.Clock,
 		Log:        h.log,
 		CacheReuse: s.Bounds.CacheReuse,
+		Failed:     h.inventory.Failed,
+		Succeeded:  h.inventory.Succeeded,
 	}
 	h.scheduler.Init()
 	h.forwarder = &forward.Forwarder{
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -54,7 +54,7 @@
 			// The daemon that leads may know less than this one, for example when the store
 			// turns it away.
 			q.f.Log.Emit(event.TargetDeclined, "Request", q.call.AttemptID, "Target", assigned.Target, "Known", known, "Draining", target.Draining, "Out", target.Out)
-			ticket.Again(assigned.Target, false)
+			ticket.Again(scheduler.Failure{Target: assigned.Target})
 			continue
 		}
 		if !q.maySend() {
@@ -69,7 +69,7 @@
 			q.endStream(ctx, s, outcome.err, busyRetryAfter)
 			return
 		}
-		ticket.Again(target.ID, outcome.inputsGone)
+		ticket.Again(scheduler.Failure{Target: target.ID, InputsGone: outcome.inputsGone, Faulty: outcome.faulty})
 	}
 }
 
@@ -141,7 +141,9 @@
 type outcome struct {
 	done       bool
 	inputsGone bool
-	err        error
+	// faulty says that the engine failed in a way that speaks against it.
+	faulty bool
+	err    error
 }
 
 // engineOnce sends the request to one engine and passes its stream on.
@@ -153,7 +155,7 @@
 	}
 	answer, conn, err := q.send(ctx, target, extra)
 	if err != nil {
-		return outcome{err: err}
+		return outcome{err: err, faulty: ctx.Err() == nil}
 	}
 	switch {
 	case answer.Head.NotExecuted:
@@ -172,6 +174,7 @@
 	if err == nil {
 		f.Pool.Release(conn)
 		f.Inventory.Succeeded(target.ID)
+		ticket.Answered()
 		q.end(event.EntryAnswered, outcomeAnswered, "Target", target.ID, "Status", answer.Head.Status, "LastEvent", s.lastEvent)
 		return outcome{done: true}
 	}
@@ -181,7 +184,7 @@
 	}
 	f.Inventory.Failed(target.ID)
 	q.failed(target.ID, outcomeBroken, "Reason", err.Error(), "LastEvent", s.lastEvent)
-	return outcome{err: err, inputsGone: true}
+	return outcome{err: err, inputsGone: true, faulty: true}
 }
 
 const statusConflict = 409
@@ -193,11 +196,11 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferedBytes))
 	if err != nil {
 		q.f.Pool.Discard(conn)
-		return outcome{err: err, inputsGone: true}
+		return outcome{err: err, inputsGone: true, faulty: true}
 	}
 	q.f.Pool.Release(conn)
 	if s.started() || q.retryError(answer) {
-		return outcome{err: problem.New(problem.TargetFailed, "target %s answered with status %d", target.ID, answer.Head.Status), inputsGone: true}
+		return outcome{err: problem.New(problem.TargetFailed, "target %s answered with status %d", target.ID, answer.Head.Status), inputsGone: true, faulty: true}
 	}
 	_ = q.w.Answer(answer.Head.Status, platform.AppendAnswerFields(nil, &answer.Header), body)
 	q.end(event.EntryAnswered, outcomeAnswered, "Target", target.ID, "Status", answer.Head.Status)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -110,6 +110,9 @@
 	Log   event.Log
 	// Metrics may be nil.
 	Metrics *metric.Entry
+	// Failed and Succeeded take what other daemons saw of the engines that were assigned to
+	// their requests; they may be nil.
+	Failed, Succeeded func(target string)
 	// CacheReuse is the time after its last use within which reading a prompt part again
 	// costs; 0 leaves the default.
 	CacheReuse time.Duration
@@ -347,20 +350,18 @@
 }
 
 // again looks for another engine, after the one chosen before didn't run the request.
-func (s *Scheduler) again(id, failed string, inputsGone bool) {
+func (s *Scheduler) again(id string, f Failure) {
 	o := s.owned[id]
 	if o == nil {
 		return
 	}
 	s.board.Ended(id)
 	o.assigned, o.held = nil, false
-	if failed != "" {
-		if o.generation.Exclude == nil {
-			o.generation.Exclude = map[string]bool{}
-		}
-		o.generation.Exclude[failed] = true
+	if o.generation.Exclude == nil {
+		o.generation.Exclude = map[string]bool{}
 	}
-	if s.planner.Known(id) && (inputsGone || len(o.inputs) == 0) {
+	o.generation.Exclude[f.Target] = true
+	if s.planner.Known(id) && (f.InputsGone || len(o.inputs) == 0) {
 		s.perform(s.planner.Redo(s.Clock.Now(), id))
 		return
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -303,3 +304,32 @@
 	ticket.Ended()
 	eventually(t, "all results are freed", func() bool { return servers[0].Held() == 0 })
 }
+
+// TestOtherDaemonsTellOfFaultyEngines has daemon b see an engine fail and another request
+// of it succeed.
+func TestOtherDaemonsTellOfFaultyEngines(t *testing.T) {
+	n, _ := start(t)
+	var mu sync.Mutex
+	var seen []string
+	note := func(what string) func(string) {
+		return func(target string) {
+			mu.Lock()
+			defer mu.Unlock()
+			seen = append(seen, what+" "+target)
+		}
+	}
+	n.schedulers["a"].Failed, n.schedulers["a"].Succeeded = note("failed"), note("succeeded")
+	ticket := n.schedulers["b"].Submit(job("j"))
+	a := assigned(t, ticket)
+	ticket.Again(scheduler.Failure{Target: a.Target, Faulty: true})
+	ticket.Ended()
+	ticket = n.schedulers["b"].Submit(job("k"))
+	assigned(t, ticket)
+	ticket.Answered()
+	ticket.Ended()
+	eventually(t, "the leader knows of both", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Equal(seen, []string{"failed e", "succeeded e"})
+	})
+}
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -22,6 +22,7 @@
 	waiting  bool
 	asked    time.Time
 	excluded map[string]bool
+	answered bool
 	// running are the pieces that calls of the former owner make, as of runningAt.
 	running   []dispatch.Running
 	runningAt time.Time
@@ -41,9 +42,18 @@
 	return t
 }
 
+// Failure says why the engine that was assigned didn't answer the request.
+type Failure struct {
+	Target string
+	// InputsGone says that the inputs must be made anew.
+	InputsGone bool
+	// Faulty says that the engine failed in a way that speaks against it.
+	Faulty bool
+}
+
 // Again asks for another engine because the one before didn't run the request, or broke
-// it off. InputsGone says that the inputs must be made anew.
-func (t *Ticket) Again(failed string, inputsGone bool) {
+// it off.
+func (t *Ticket) Again(failure Failure) {
 	s := t.scheduler
 	s.post(func() {
 		if s.tickets[t.job.ID] != t {
@@ -51,15 +61,17 @@
 		}
 		t.waiting, t.asked = true, s.Clock.Now()
 		t.job.Assigned, t.job.Began = "", false
-		t.excluded[failed] = true
-		if inputsGone {
+		t.excluded[failure.Target] = true
+		if failure.InputsGone {
 			t.job.Done, t.running = nil, nil
 		}
 		if t.owner == s.Host && s.owned[t.job.ID] != nil {
-			s.again(t.job.ID, failed, inputsGone)
+			s.again(t.job.ID, failure)
 			return
 		}
-		e := &clusterpb.Envelope{Kind: &clusterpb.Envelope_Again{Again: &clusterpb.Again{ID: t.job.ID, Failed: failed, InputsGone: inputsGone}}}
+		e := &clusterpb.Envelope{Kind: &clusterpb.Envelope_Again{Again: &clusterpb.Again{
+			ID: t.job.ID, Failed: failure.Target, InputsGone: failure.InputsGone, Faulty: failure.Faulty,
+		}}}
 		if t.owner != "" && t.owner != s.Host && s.ownerLives(t) && s.Mesh.Send(t.owner, e) {
 			return
 		}
@@ -77,11 +89,16 @@
 	})
 }
 
+// Answered says that the engine gave its whole answer; Ended must follow.
+func (t *Ticket) Answered() {
+	t.scheduler.post(func() { t.answered = true })
+}
+
 // Ended says that the request is over, however it ended.
 func (t *Ticket) Ended() {
 	s := t.scheduler
 	s.post(func() {
-		s.tell(t, &clusterpb.Envelope{Kind: &clusterpb.Envelope_Ended{Ended: &clusterpb.Ended{ID: t.job.ID}}}, s.end)
+		s.tell(t, &clusterpb.Envelope{Kind: &clusterpb.Envelope_Ended{Ended: &clusterpb.Ended{ID: t.job.ID, Answered: t.answered}}}, s.end)
 		if s.tickets[t.job.ID] == t {
 			delete(s.tickets, t.job.ID)
 		}
@@ -204,11 +221,22 @@
 		job := decodeJob(s.Clock.Now(), k.Submit)
 		s.post(func() { s.submit(from, job) })
 	case *clusterpb.Envelope_Again:
-		s.post(func() { s.again(k.Again.GetID(), k.Again.GetFailed(), k.Again.GetInputsGone()) })
+		f := Failure{Target: k.Again.GetFailed(), InputsGone: k.Again.GetInputsGone(), Faulty: k.Again.GetFaulty()}
+		s.post(func() {
+			if f.Faulty && s.Failed != nil {
+				s.Failed(f.Target)
+			}
+			s.again(k.Again.GetID(), f)
+		})
 	case *clusterpb.Envelope_Began:
 		s.post(func() { s.began(k.Began.GetID()) })
 	case *clusterpb.Envelope_Ended:
-		s.post(func() { s.end(k.Ended.GetID()) })
+		s.post(func() {
+			if o := s.owned[k.Ended.GetID()]; o != nil && o.assigned != nil && k.Ended.GetAnswered() && s.Succeeded != nil {
+				s.Succeeded(o.assigned.Target)
+			}
+			s.end(k.Ended.GetID())
+		})
 	case *clusterpb.Envelope_Progress:
 		p := dispatch.Progress{Job: k.Progress.GetID(), Done: decodeDone(s.Clock.Now(), k.Progress.GetDone()), Released: decodeReleased(k.Progress.GetReleased())}
 		s.post(func() { s.progress(from, p) })
