--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -10,13 +10,9 @@
 import (
 	"context"
 	"net"
-	"os"
-	"os/signal"
 	"runtime/debug"
 	"strings"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -315,46 +311,6 @@
 	}
 }
 
-// settingsInterval is the time between two looks at the settings file, which may change
-// without a signal.
-const settingsInterval = 2 * time.Second
-
-// watchSettings reads the settings again when the file changes or SIGHUP arrives.
-func (h *Host) watchSettings(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	ticker := h.Clock.NewTicker(settingsInterval)
-	defer ticker.Stop()
-	last := modified(h.SettingsPath)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-hup:
-		case <-ticker.Chan():
-			if now := modified(h.SettingsPath); now.Equal(last) {
-				continue
-			}
-		}
-		last = modified(h.SettingsPath)
-		s, err := platform.ReadSettings(h.SettingsPath)
-		if err != nil {
-			h.log.Emit(event.SettingsRefused, "Reason", err.Error())
-			continue
-		}
-		h.log.Emit(event.SettingsRead, "Seeds", s.Seeds)
-	}
-}
-
-func modified(path string) time.Time {
-	info, err := os.Stat(path)
-	if err != nil {
-		return time.Time{} // the next look shows it again
-	}
-	return info.ModTime()
-}
-
 func turnUnready(h *Host, _ context.Context) error {
 	h.stopping.Store(true)
 	h.log.Emit(event.DaemonStopping, "Connections", h.front.Open())
@@ -394,87 +350,3 @@
 	h.log.Emit(event.DaemonStopped, "Incarnation", h.incarnation)
 	return nil
 }
-
-// tasks are the goroutines of a host; each reports its end on its channel.
-type tasks struct {
-	log event.Log
-
-	mu      sync.Mutex
-	running map[string]task
-	failed  chan error
-}
-
-// failures returns the channel on which a task that failed is reported; the host can't go
-// on without it.
-func (t *tasks) failures() <-chan error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.failed == nil {
-		t.failed = make(chan error, maxTasks)
-	}
-	return t.failed
-}
-
-// report tells of a failure unless many wait already.
-func (t *tasks) report(err error) {
-	select {
-	case t.failed <- err:
-	default:
-	}
-}
-
-// maxTasks is more than the tasks of a host.
-const maxTasks = 32
-
-type task struct {
-	cancel context.CancelFunc
-	ended  chan error
-}
-
-func (t *tasks) start(name string, run func(ctx context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	t.failures() // so that the channel is there
-	go func() {
-		err := run(ctx)
-		if err != nil {
-			t.log.Emit(event.TaskFailed, "Task", name, "Reason", err.Error())
-			t.report(errors.Wrap(err, name))
-		}
-		ended <- err
-	}()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.running == nil {
-		t.running = map[string]task{}
-	}
-	t.running[name] = task{cancel: cancel, ended: ended}
-}
-
-// stopTimeout bounds the wait for a task, so that a stop ends inside its grace.
-const stopTimeout = 300 * time.Millisecond
-
-func (t *tasks) stop(name string) {
-	t.mu.Lock()
-	running, ok := t.running[name]
-	delete(t.running, name)
-	t.mu.Unlock()
-	if !ok {
-		return
-	}
-	running.cancel()
-	select {
-	case <-running.ended:
-	case <-time.After(stopTimeout):
-	}
-}
-
-func (t *tasks) stopAll() {
-	t.mu.Lock()
-	running := t.running
-	t.running = nil
-	t.mu.Unlock()
-	for _, r := range running {
-		r.cancel()
-	}
-}
