feat(forward): send what was rejected unrun elsewhere, leave replaced targets

Cause: a target that rejects a request has not run it, yet the rejection counted as an attempt, so that requests of routes with one attempt were refused while other targets had room (full ones shed during bursts). And an answer 421, another target at the address, was forgotten with the request: every next one went there until the entry was gone, and a stage call with it counted as lost, with its target and room held for seconds.

Change: rejected sends don't count against the route's attempts, up to four sends and inside the budget of repeats; a misdirected target isn't used until it reports anew; stage calls end as not reached.

Ruled out: giving up the budget for rejected sends, they count as repeats.

--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -68,6 +68,7 @@
 	Out        bool
 	Cut        bool
 	Suspect    bool
+	Replaced   bool
 }
 
 // State returns what the daemon believes now.
@@ -95,7 +96,7 @@
 	for _, t := range h.inventory.Targets("") {
 		s.Targets = append(s.Targets, TargetState{
 			ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Address: t.Address,
-			Draining: t.Draining, Cold: t.Cold, Out: t.Out, Cut: t.Cut, Suspect: t.Suspect,
+			Draining: t.Draining, Cold: t.Cold, Out: t.Out, Cut: t.Cut, Suspect: t.Suspect, Replaced: t.Replaced,
 		})
 	}
 	return s
@@ -191,7 +192,7 @@
 	for _, s := range []struct {
 		is   bool
 		name string
-	}{{t.Draining, "Draining"}, {t.Out, "Out"}, {t.Cut, "Cut"}, {t.Suspect, "Suspect"}, {t.Cold, "Cold"}} {
+	}{{t.Draining, "Draining"}, {t.Out, "Out"}, {t.Cut, "Cut"}, {t.Suspect, "Suspect"}, {t.Cold, "Cold"}, {t.Replaced, "Replaced"}} {
 		if s.is {
 			return s.name
 		}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -62,11 +62,12 @@
 	service string
 	// deadline is when the client stops waiting or the route's timeout passes.
 	deadline time.Time
-	// sends counts the targets that the request may have reached, ran those that may have
-	// run it.
-	sends int
-	ran   bool
-	tried map[string]bool
+	// sends counts the targets that the request may have reached, notRun those of them that
+	// rejected it; ran says that one may have run it.
+	sends  int
+	notRun int
+	ran    bool
+	tried  map[string]bool
 	// assigned is when the stages were done and an engine was chosen; began when the target
 	// began to answer.
 	assigned time.Time
@@ -256,9 +257,22 @@
 	return exchange.Fresh
 }
 
+// maxSends bounds the sends of a request, those included that targets rejected: beyond a
+// few, the next target is as full as those before.
+const maxSends = 4
+
+// rejected notes that a target didn't run the request and never will.
+func (q *run) rejected(target string, answer *exchange.Answer) {
+	q.notRun++
+	if answer.Head.Misdirected {
+		q.f.Inventory.Misdirected(target)
+	}
+	q.failed(target, "NotRun", "Status", answer.Head.Status)
+}
+
 // maySend reports whether the request may be sent to one more target.
 func (q *run) maySend() bool {
-	if q.sends >= q.route.MaxAttempts || q.ran && !q.route.Idempotent() {
+	if q.sends-q.notRun >= q.route.MaxAttempts || q.sends >= maxSends || q.ran && !q.route.Idempotent() {
 		return false
 	}
 	if q.sends == 0 {
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -160,7 +160,7 @@
 	switch {
 	case answer.Head.NotExecuted:
 		f.Pool.Release(conn)
-		q.failed(target.ID, "NotRun", "Status", answer.Head.Status)
+		q.rejected(target.ID, answer)
 		return outcome{
 			inputsGone: answer.Head.Status == statusConflict,
 			err:        problem.New(problem.Overloaded, "target %s didn't run the request", target.ID),
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -80,7 +80,7 @@
 	load = answer.Head.Load
 	if answer.Head.NotExecuted {
 		f.Pool.Release(conn)
-		q.failed(target.ID, "NotRun", "Status", answer.Head.Status)
+		q.rejected(target.ID, answer)
 		return false, problem.New(problem.Overloaded, "target %s didn't run the request", target.ID)
 	}
 	q.ran = true
@@ -111,7 +111,7 @@
 
 // retryError reports whether an error that a target answered with is worth another try.
 func (q *run) retryError(answer *exchange.Answer) bool {
-	return answer.Head.Status >= 500 && q.route.Idempotent() && q.sends < q.route.MaxAttempts && q.f.Budget.Allows(q.service)
+	return answer.Head.Status >= 500 && q.route.Idempotent() && q.sends-q.notRun < q.route.MaxAttempts && q.f.Budget.Allows(q.service)
 }
 
 // passOn passes a large answer on as it arrives.
@@ -158,7 +158,7 @@
 // patience is the time for which a target may let a request wait that can be sent to
 // another one; 0 means without bound.
 func (q *run) patience() time.Duration {
-	if !q.route.Idempotent() || q.sends+1 >= q.route.MaxAttempts {
+	if !q.route.Idempotent() || q.sends-q.notRun+1 >= q.route.MaxAttempts {
 		return 0
 	}
 	return time.Duration(float64(q.route.Aim) * slowRatio)
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -50,11 +50,13 @@
 	Cut bool
 	// Suspect says that requests to it failed lately.
 	Suspect bool
+	// Replaced says that another target answers at its address.
+	Replaced bool
 }
 
 // Usable reports whether new work may go to the target.
 func (t Target) Usable() bool {
-	return !t.Draining && !t.Out && !t.Cut
+	return !t.Draining && !t.Out && !t.Cut && !t.Replaced
 }
 
 // Inventory is the state of all targets; the zero value with a clock works.
@@ -73,6 +75,8 @@
 	coldUntil time.Time
 	failures  int
 	failedAt  time.Time
+	// replaced says that another target answered at the address since the last report.
+	replaced bool
 	// lapsesAt is set while the target's entry is missing.
 	lapsesAt time.Time
 }
@@ -100,6 +104,10 @@
 		s = &state{}
 		inv.targets[r.ID] = s
 	}
+	if s.replaced && r.Sequence > s.report.Sequence {
+		s.replaced = false
+		inv.version++
+	}
 	changed := old == nil || s.report.Draining != r.Draining || !s.lapsesAt.IsZero() || s.report.Service != r.Service || s.report.DataCentre != r.DataCentre
 	wasCold := inv.Clock.Now().Before(s.coldUntil)
 	s.report = r
@@ -188,6 +196,17 @@
 	}
 }
 
+// Misdirected notes that another target answers at the address: the one that was there has
+// gone, its entry will follow. A newer report of it says otherwise.
+func (inv *Inventory) Misdirected(id string) {
+	inv.mu.Lock()
+	defer inv.mu.Unlock()
+	if s := inv.targets[id]; s != nil && !s.replaced {
+		s.replaced = true
+		inv.version++
+	}
+}
+
 // Succeeded notes that the target answered.
 func (inv *Inventory) Succeeded(id string) {
 	inv.mu.Lock()
@@ -249,6 +268,7 @@
 		Cold:       now.Before(s.coldUntil),
 		Out:        inv.out[s.report.DataCentre],
 		Cut:        inv.cut[s.report.DataCentre],
+		Replaced:   s.replaced,
 		Suspect:    s.failures >= suspectAfter && now.Sub(s.failedAt) < suspectTime,
 	}
 }
--- a/internal/scheduler/call.go
+++ b/internal/scheduler/call.go
@@ -109,6 +109,8 @@
 	case fasthttp.StatusOK:
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
 		return nil, dispatch.Full, nil
+	case fasthttp.StatusMisdirectedRequest:
+		return nil, dispatch.Unreached, problem.New(problem.Unavailable, "another target answers at %s", target.Address)
 	default:
 		return nil, dispatch.Lost, problem.New(problem.TargetFailed, "status %d", status)
 	}
--- a/test/entry/rules_test.go
+++ b/test/entry/rules_test.go
@@ -166,6 +166,22 @@
 		Expect(lost).To(BeNumerically(">", 0), "no answer was lost in the run")
 	})
 
+	It("sends what was rejected unrun to another server, also with one attempt", func() {
+		f := newFleet(1)
+		f.routes[1]["maxAttempts"] = 1
+		f.configure()
+		time.Sleep(bound)
+		f.of("desk")[0].SetFault(service.Fault{Shed: 10})
+		var attempts []*attempt
+		for n := range 30 {
+			a := request("unsafe", n)
+			a.send(context.Background(), f.daemons[0])
+			Expect(a.status).To(Equal(200), "attempt %d", n)
+			attempts = append(attempts, a)
+		}
+		f.check(attempts)
+	})
+
 	It("ORDER: resumes a stream that breaks off inside an event, whole and in order", func() {
 		f := newFleet(3)
 		f.of("llm")[0].SetFault(service.Fault{CutEvent: 12})
