fix(registry): catch up with the table in one step

Ruled out: a stale read (the head was the newest), the neighbours (cut from it at that time).

The test shows versions 2 to 5 before and 6 alone now.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -126,12 +126,15 @@
 	r.loaded = true
 }
 
-// catchUp reads the snapshot, if the version is behind it, and the changes after it. The
-// version was in force when the head was compared with it; others may raise it meanwhile.
+// catchUp reads the snapshot, if the version is behind it, and the changes after it, and
+// puts them in force together: the versions on the way are older than what this daemon, or
+// the start before it, may have shown. The version was in force when the head was compared
+// with it; others may raise it meanwhile.
 func (r *Registry) catchUp(ctx context.Context, h head, version uint64) error {
 	if version == h.Version {
 		return nil
 	}
+	var snapshot *catalog.Document
 	if version < h.SnapshotVersion {
 		body, found, err := r.Objects.GetObject(ctx, h.Snapshot)
 		if err != nil {
@@ -140,31 +143,40 @@
 		if !found {
 			return problem.New(problem.Unavailable, "snapshot %q is missing", h.Snapshot)
 		}
-		if err := r.RaiseSnapshot(body); err != nil {
+		document, err := catalog.DecodeDocument(body)
+		if err != nil {
 			return err
 		}
-		version = h.SnapshotVersion
+		snapshot, version = &document, h.SnapshotVersion
 	}
 	rows, err := r.Table.Scan(ctx, changePrefix, changeKey(version), int(h.Version-version))
 	if err != nil {
 		return err
 	}
+	changes := make([]catalog.Change, 0, len(rows))
 	for _, row := range rows {
 		c, err := catalog.DecodeChange(row.Value)
 		if err != nil {
 			return err
 		}
-		if err := r.Raise([]catalog.Change{c}, "table"); err != nil {
-			return err
-		}
+		changes = append(changes, c)
 	}
-	return nil
+	return r.raiseFrom(snapshot, changes, "table")
 }
 
 // Raise applies consecutive changes, passing over those already in force.
 func (r *Registry) Raise(changes []catalog.Change, source string) error {
+	return r.raiseFrom(nil, changes, source)
+}
+
+// raiseFrom takes over a document, if there is one and its version is higher, and applies
+// the changes after it, in one step.
+func (r *Registry) raiseFrom(snapshot *catalog.Document, changes []catalog.Change, source string) error {
 	r.mu.Lock()
 	before := r.document.Version
+	if snapshot != nil && snapshot.Version > before {
+		r.document, r.changes, r.loaded = *snapshot, nil, true
+	}
 	err := r.raise(changes)
 	after := r.document.Version
 	r.mu.Unlock()
@@ -200,20 +212,7 @@
 	if err != nil {
 		return err
 	}
-	r.mu.Lock()
-	before := r.document.Version
-	newer := document.Version > before
-	if newer {
-		r.document = document
-		r.changes = nil
-		r.loaded = true
-	}
-	r.mu.Unlock()
-	if newer {
-		r.Log.Emit(event.ConfigurationRaised, "Version", document.Version, "Before", before, "Source", "snapshot")
-		r.notify()
-	}
-	return nil
+	return r.raiseFrom(&document, nil, "snapshot")
 }
 
 func (r *Registry) notify() {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -86,3 +87,47 @@
 		t.Error("a gap between versions was accepted")
 	}
 }
+
+// storedTable is a table at version 6 whose snapshot is of version 2.
+type storedTable struct{}
+
+func (s storedTable) Get(context.Context, string) (platform.Row, bool, error) {
+	value, err := json.Marshal(map[string]any{"Version": 6, "Snapshot": "s", "SnapshotVersion": 2})
+	return platform.Row{Revision: 1, Value: value}, true, err
+}
+
+func (s storedTable) Scan(context.Context, string, string, int) ([]platform.Row, error) {
+	var rows []platform.Row
+	for version := uint64(3); version <= 6; version++ {
+		value, err := json.Marshal(change(version))
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, platform.Row{Value: value})
+	}
+	return rows, nil
+}
+
+func (s storedTable) Commit(context.Context, platform.Transaction) (uint64, error) { return 0, nil }
+
+func (s storedTable) GetObject(context.Context, string) ([]byte, bool, error) {
+	body, err := catalog.Encode(catalog.Document{Version: 2})
+	return body, true, err
+}
+
+func (s storedTable) PutObject(context.Context, string, []byte) error { return nil }
+
+// TestCatchingUpShowsNoVersionOnTheWay follows a start: the process before it may have
+// shown any version up to the newest.
+func TestCatchingUpShowsNoVersionOnTheWay(t *testing.T) {
+	store := storedTable{}
+	r := &registry.Registry{Table: store, Objects: store}
+	var shown []uint64
+	r.Raised = func() { shown = append(shown, r.Document().Version) }
+	if err := r.Sync(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if slices.ContainsFunc(shown, func(v uint64) bool { return v != 6 }) || r.Document().Version != 6 {
+		t.Errorf("versions %v were in force, want 6 alone", shown)
+	}
+}
