feat(entry): log where each configuration came from and how long it was on the way

The log had only when a version came into use. It can't tell a late read from a late relay or from a copy that is requested again and again. ConfigurationRaised now names its source, the age that the source states, the longest time on the link, and the size of the row; TableRequested reports a gap.

A link keeps the order of envelopes. An envelope behind a heartbeat was therefore sent after this daemon's heartbeat that it echoes, which bounds the time on the link without agreeing clocks. Nothing uses the bound yet.

--- a/internal/cluster/heartbeat.go
+++ b/internal/cluster/heartbeat.go
@@ -122,18 +122,20 @@
 }
 
 // handleHeartbeat updates the state of the member that sent the heartbeat, and the leader if
-// the heartbeat may change it.
-func (m *Mesh) handleHeartbeat(host string, beat *clusterpb.Beat) {
+// the heartbeat may change it. It returns when this daemon sent the heartbeat that is echoed, or
+// the zero time if that isn't known.
+func (m *Mesh) handleHeartbeat(host string, beat *clusterpb.Beat) time.Time {
 	m.mu.Lock()
 	p := m.peers[host]
 	if p == nil {
 		m.mu.Unlock()
-		return
+		return time.Time{}
 	}
 	p.receivedAt, p.receivedSequence = m.Clock.Now(), beat.GetSequence()
 	p.incomingClosed = false
-	if at := m.sendTimes.lookup(beat.GetHeard()); at.After(p.echoedSendTime) {
-		p.echoedSendTime = at
+	echoed := m.sendTimes.lookup(beat.GetHeard())
+	if echoed.After(p.echoedSendTime) {
+		p.echoedSendTime = echoed
 	}
 	p.term, p.highestTerm = beat.GetTerm(), beat.GetHighestTerm()
 	mayChangeLeader := beat.GetStopping() != p.stopping || p.term > 0 && m.leader != host
@@ -142,6 +144,7 @@
 	if mayChangeLeader {
 		m.updateLeader()
 	}
+	return echoed
 }
 
 // updateLeader runs one step of the election. It reports a new leader to the handler and
--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -313,6 +313,9 @@
 	if from == "" {
 		return
 	}
+	// A link keeps the order of envelopes, so that those behind a heartbeat were sent after the
+	// heartbeat of this daemon that it echoes.
+	var sentAfter time.Time
 	for {
 		e := &clusterpb.Envelope{}
 		_ = stream.SetReadDeadline(time.Now().Add(readTimeout))
@@ -321,10 +324,12 @@
 			return
 		}
 		if beat := e.GetBeat(); beat != nil {
-			m.handleHeartbeat(from, beat)
+			if at := m.handleHeartbeat(from, beat); at.After(sentAfter) {
+				sentAfter = at
+			}
 			continue
 		}
-		m.Handler.Receive(from, e)
+		m.Handler.Receive(from, sentAfter, e)
 	}
 }
 
--- a/internal/cluster/mesh.go
+++ b/internal/cluster/mesh.go
@@ -48,8 +48,9 @@
 
 // Handler handles received envelopes and changes of the cluster. Its methods must not block.
 type Handler interface {
-	// Receive handles an envelope from the daemon on the host.
-	Receive(from string, e *clusterpb.Envelope)
+	// Receive handles an envelope from the daemon on the host. The envelope was sent at sentAfter
+	// or later, by the clock of this daemon; a zero time means that there is no such bound yet.
+	Receive(from string, sentAfter time.Time, e *clusterpb.Envelope)
 	// LeaderChanged reports the host of the new leader, which is empty if there is none.
 	LeaderChanged(leader string)
 	// MembersDiscovered reports members that were unknown or have changed, as learned from
--- a/internal/cluster/mesh_test.go
+++ b/internal/cluster/mesh_test.go
@@ -54,9 +54,9 @@
 	leaders []string
 }
 
-func (d *testDaemon) Receive(string, *clusterpb.Envelope) {}
-func (d *testDaemon) MembersDiscovered([]Member)          {}
-func (d *testDaemon) LinkOpened(string)                   {}
+func (d *testDaemon) Receive(string, time.Time, *clusterpb.Envelope) {}
+func (d *testDaemon) MembersDiscovered([]Member)                     {}
+func (d *testDaemon) LinkOpened(string)                              {}
 
 func (d *testDaemon) LeaderChanged(leader string) {
 	d.mu.Lock()
--- a/internal/entry/cluster_handler.go
+++ b/internal/entry/cluster_handler.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/sequoiapick/sequoiapick/internal/cluster"
 	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
 	"github.com/sequoiapick/sequoiapick/internal/event"
@@ -9,11 +11,11 @@
 var _ cluster.Handler = (*Daemon)(nil)
 
 // Receive implements cluster.Handler.
-func (d *Daemon) Receive(from string, e *clusterpb.Envelope) {
+func (d *Daemon) Receive(from string, sentAfter time.Time, e *clusterpb.Envelope) {
 	switch k := e.GetKind().(type) {
 	case *clusterpb.Envelope_Observed:
 		if r := d.tableReaders[k.Observed.GetTable()]; r != nil {
-			r.handleUpdate(from, k.Observed)
+			r.handleUpdate(from, sentAfter, k.Observed)
 		}
 	case *clusterpb.Envelope_Wanted:
 		if r := d.tableReaders[k.Wanted.GetTable()]; r != nil {
--- a/internal/entry/table_reader.go
+++ b/internal/entry/table_reader.go
@@ -41,6 +41,33 @@
 	return b.delay/2 + rand.N(b.delay/2+1)
 }
 
+// origin describes where changed rows come from.
+type origin struct {
+	// sender is the daemon that relayed the rows, empty if this daemon has read them itself.
+	sender string
+	// readAt is when the store was read, as computed from the age that the sender states.
+	readAt time.Time
+	// sentAfter is the bound of cluster.Handler.Receive, zero if this daemon has read the rows
+	// itself.
+	sentAfter time.Time
+	// lapsed means that the store has just returned after an outage during which targets couldn't
+	// renew their rows: the row of a live target may be missing and reappear soon.
+	lapsed bool
+}
+
+// logFields returns the fields of the origin for log lines. OnLinkMillis is the longest time for
+// which the rows may have been on the link, -1 if that isn't known.
+func (o origin) logFields(now time.Time) []any {
+	if o.sender == "" {
+		return []any{"Source", "Store", "AgeMillis", now.Sub(o.readAt).Milliseconds()}
+	}
+	onLink := int64(-1)
+	if !o.sentAfter.IsZero() {
+		onLink = now.Sub(o.sentAfter).Milliseconds()
+	}
+	return []any{"Source", o.sender, "AgeMillis", now.Sub(o.readAt).Milliseconds(), "OnLinkMillis", onLink}
+}
+
 // tableReader maintains a copy of a table of the platform's store. The leader reads the table
 // and relays its updates to the other daemons, the followers. A follower reads the table only if
 // its copy is older than followerMaxAge, and then relays its updates as well, so that a daemon
@@ -58,10 +85,8 @@
 	// lapseAfter is the time without a confirmation of the copy that counts as an outage of the
 	// store, after which rows may have lapsed.
 	lapseAfter time.Duration
-	// apply handles changed rows. Lapsed means that the store has just returned after an outage
-	// during which targets couldn't renew their rows: the row of a live target may be missing and
-	// reappear soon.
-	apply func(changes []platform.Row, lapsed bool)
+	// apply handles changed rows.
+	apply func(changes []platform.Row, o origin)
 
 	mu     sync.Mutex
 	mirror mirror.Mirror
@@ -167,7 +192,7 @@
 	r.mu.Lock()
 	r.fullReadRequired = false
 	r.mu.Unlock()
-	if relay, _ := r.applyUpdate(u); relay != nil {
+	if relay, _ := r.applyUpdate(u, origin{readAt: u.ReadAt}); relay != nil {
 		d.mesh.Broadcast(r.encodeUpdate(*relay))
 	}
 	return nil
@@ -177,17 +202,17 @@
 // returns the update to relay to the other daemons, or nil if the copy was empty before or the
 // update isn't contiguous. The relayed update holds only changes; a daemon without a copy requests
 // the whole table when it receives one.
-func (r *tableReader) applyUpdate(u mirror.Update) (relay *mirror.Update, contiguous bool) {
+func (r *tableReader) applyUpdate(u mirror.Update, o origin) (relay *mirror.Update, contiguous bool) {
 	now := r.daemon.Clock.Now()
 	r.mu.Lock()
 	if r.mirror.Loaded() && u.ReadAt.Sub(now.Add(-r.mirror.Age(now))) > r.lapseAfter {
 		r.storeReturnedAt = now
 	}
-	lapsed := !r.storeReturnedAt.IsZero() && now.Sub(r.storeReturnedAt) < lapseWindow
+	o.lapsed = !r.storeReturnedAt.IsZero() && now.Sub(r.storeReturnedAt) < lapseWindow
 	from, loaded := r.mirror.Version(), r.mirror.Loaded()
 	changes, contiguous := r.mirror.Apply(u)
 	if contiguous && len(changes) > 0 {
-		r.apply(changes, lapsed)
+		r.apply(changes, o)
 	}
 	if contiguous && loaded {
 		relay = &mirror.Update{FromVersion: from, ToVersion: r.mirror.Version(), Rows: changes, ReadAt: u.ReadAt}
@@ -236,7 +261,7 @@
 
 // handleUpdate applies an update of another daemon and doesn't relay it. If it isn't contiguous
 // with the copy, the whole table is requested from the sender.
-func (r *tableReader) handleUpdate(from string, m *clusterpb.Observed) {
+func (r *tableReader) handleUpdate(from string, sentAfter time.Time, m *clusterpb.Observed) {
 	u := mirror.Update{
 		Full:        m.GetWhole(),
 		FromVersion: m.GetFrom(),
@@ -246,7 +271,9 @@
 	for _, row := range m.GetRows() {
 		u.Rows = append(u.Rows, platform.Row{Table: r.table, Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Deleted: row.GetDeleted()})
 	}
-	if _, contiguous := r.applyUpdate(u); !contiguous {
+	if _, contiguous := r.applyUpdate(u, origin{sender: from, readAt: u.ReadAt, sentAfter: sentAfter}); !contiguous {
+		version, age := r.versionAndAge()
+		r.daemon.log.Emit(event.TableRequested, "Table", r.table, "Member", from, "Version", version, "AgeMillis", age.Milliseconds(), "From", u.FromVersion)
 		r.requestTable(from)
 	}
 }
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -28,7 +28,7 @@
 
 // createTableReaders creates the readers of the store's tables.
 func (d *Daemon) createTableReaders() {
-	reader := func(table string, feedTimeout, leaderInterval, followerMaxAge time.Duration, apply func([]platform.Row, bool)) *tableReader {
+	reader := func(table string, feedTimeout, leaderInterval, followerMaxAge time.Duration, apply func([]platform.Row, origin)) *tableReader {
 		return &tableReader{
 			daemon:         d,
 			table:          table,
@@ -49,7 +49,7 @@
 
 // applyOperatorRows handles rows of the operators' table: configurations, and orders that take
 // a data centre out of service or put it back.
-func (d *Daemon) applyOperatorRows(changes []platform.Row, _ bool) {
+func (d *Daemon) applyOperatorRows(changes []platform.Row, o origin) {
 	for _, row := range changes {
 		decoded, err := platform.DecodeOperatorRow(row)
 		if err != nil {
@@ -58,7 +58,7 @@
 		}
 		switch v := decoded.(type) {
 		case platform.Configuration:
-			d.applyConfiguration(v)
+			d.applyConfiguration(v, len(row.Value), o)
 		case platform.Evacuation:
 			d.inventory.SetDataCentreOut(v.DataCentre, v.Out)
 			e := event.DataCentreIn
@@ -70,20 +70,22 @@
 	}
 }
 
-// applyConfiguration makes a configuration current unless a newer one is in use.
-func (d *Daemon) applyConfiguration(c platform.Configuration) {
+// applyConfiguration makes a configuration current unless a newer one is in use. Its row has the
+// given size in bytes.
+func (d *Daemon) applyConfiguration(c platform.Configuration, size int, o origin) {
 	if old := d.routeTable.Load(); old != nil && c.Table.Version <= old.Version {
 		return
 	}
 	d.routeTable.Store(c.Table)
-	d.log.Emit(event.ConfigurationRaised, "Version", c.Table.Version, "Routes", len(c.Table.Routes))
+	fields := []any{"Version", c.Table.Version, "Routes", len(c.Table.Routes), "Bytes", size}
+	d.log.Emit(event.ConfigurationRaised, append(fields, o.logFields(d.Clock.Now())...)...)
 }
 
 // applyTargetRows handles rows of the targets table, which hold the reports of targets.
-func (d *Daemon) applyTargetRows(changes []platform.Row, lapsed bool) {
+func (d *Daemon) applyTargetRows(changes []platform.Row, o origin) {
 	for _, row := range changes {
 		if row.Deleted {
-			d.inventory.Remove(row.Key, lapsed)
+			d.inventory.Remove(row.Key, o.lapsed)
 			continue
 		}
 		report, err := platform.DecodeTarget(row)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -69,6 +69,7 @@
 	ConfigurationStale  = Event{601, "ConfigurationStale", "a configuration is not used because it is older than the current one or its row is malformed"}
 	DataCentreOut       = Event{602, "DataCentreOut", "an operator's order has taken a data centre out of service"}
 	DataCentreIn        = Event{603, "DataCentreIn", "all orders that took a data centre out of service were cancelled"}
+	TableRequested      = Event{604, "TableRequested", "an update of another daemon leaves a gap after this daemon's copy of a table, so that the whole table was requested from it"}
 	KeyClaimed          = Event{700, "KeyClaimed", "an idempotency key was claimed in the platform's table"}
 	KeyForwarded        = Event{701, "KeyForwarded", "a request with an idempotency key was forwarded to the daemon that owns the key"}
 	KeyUnverified       = Event{702, "KeyUnverified", "the earlier use of an idempotency key can't be looked up in the platform's table"}
@@ -93,7 +94,7 @@
 		TargetCold, TargetLeaving, TargetMalformed,
 		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected, LinkLost, LeaderChanged, MemberLearned,
 		DataCentreCut, DataCentreReached,
-		ConfigurationRaised, ConfigurationStale, DataCentreOut, DataCentreIn,
+		ConfigurationRaised, ConfigurationStale, DataCentreOut, DataCentreIn, TableRequested,
 		KeyClaimed, KeyForwarded, KeyUnverified, KeysHandedOver, KeysInherited,
 		DraftAccepted, DraftTakenOver, DraftFinished,
 		OrderSent, OrderRefused,
