fix(cluster): keep a link to a daemon whose heartbeats arrive

Callers saw: a daemon of a large cluster that works for itself until it restarts. It receives no rows from the others; where the store rejects its calls, it goes on with an old configuration (CONFIG).

Cause: a leaf may open its links before a hub has read its row of the members table. The hub then removes it as not registered and not yet alive, with its link to the leaf. The leaf's own link stays open, the hub drops the heartbeats on it for lack of a peer, and once the row is read nothing opens a link: hubs open links to hubs only. Clusters of 12 daemons or fewer open all links anew every 300 ms, so that no small site shows it.

Now a heartbeat of a daemon without a link opens one: who sends heartbeats is alive, whatever the members table says.

--- a/internal/cluster/heartbeat.go
+++ b/internal/cluster/heartbeat.go
@@ -124,9 +124,10 @@
 // handleHeartbeat updates the state of the member that sent the heartbeat, and the leader if
 // the heartbeat may change it. It returns when this daemon sent the heartbeat that is echoed, or
 // the zero time if that isn't known.
-func (m *Mesh) handleHeartbeat(host string, beat *clusterpb.Beat) time.Time {
+func (m *Mesh) handleHeartbeat(sender Member, beat *clusterpb.Beat) time.Time {
+	host := sender.Host
 	m.mu.Lock()
-	p := m.peers[host]
+	p := m.restorePeer(sender)
 	if p == nil {
 		m.mu.Unlock()
 		return time.Time{}
@@ -147,6 +148,19 @@
 	return echoed
 }
 
+// restorePeer returns the peer of a member whose heartbeats arrive. It opens a link to the member if
+// there is none: the member may have been removed because the members table was read before it
+// had registered. It returns nil once this daemon stops.
+func (m *Mesh) restorePeer(sender Member) *peer {
+	if p := m.peers[sender.Host]; p != nil || m.ctx.Err() != nil {
+		return p
+	}
+	if _, known := m.members[sender.Host]; !known {
+		m.putMember(sender)
+	}
+	return m.openLink(m.members[sender.Host])
+}
+
 // updateLeader runs one step of the election. It reports a new leader to the handler and
 // sends heartbeats at once if this daemon has started or stopped leading.
 func (m *Mesh) updateLeader() {
--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -313,6 +313,7 @@
 	if from == "" {
 		return
 	}
+	sender := decodeMember(first.GetHello().GetSender())
 	// A link keeps the order of envelopes, so that those behind a heartbeat were sent after the
 	// heartbeat of this daemon that it echoes.
 	var sentAfter time.Time
@@ -320,11 +321,11 @@
 		e := &clusterpb.Envelope{}
 		_ = stream.SetReadDeadline(time.Now().Add(readTimeout))
 		if err := options.UnmarshalFrom(reader, e); err != nil {
-			m.handleClosedLink(from, first.GetHello().GetSender().GetIncarnation(), err)
+			m.handleClosedLink(from, sender.Incarnation, err)
 			return
 		}
 		if beat := e.GetBeat(); beat != nil {
-			if at := m.handleHeartbeat(from, beat); at.After(sentAfter) {
+			if at := m.handleHeartbeat(sender, beat); at.After(sentAfter) {
 				sentAfter = at
 			}
 			continue
--- a/internal/cluster/mesh_test.go
+++ b/internal/cluster/mesh_test.go
@@ -230,3 +230,60 @@
 		t.Errorf("the others follow %q, want %s", commonLeader(rest), next)
 	}
 }
+
+// startLargeMesh starts two hubs and a leaf, in this order, of a cluster that is too large for all
+// daemons to be hubs. Its other members are down.
+func startLargeMesh(t *testing.T) (daemons []*testDaemon, members []Member) {
+	t.Helper()
+	for i, weight := range []float64{1, 0.9, 0.2} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		member := Member{Host: fmt.Sprintf("h%d", i), DataCentre: "a", Address: listener.Addr().String(), Incarnation: "1", Weight: weight}
+		members = append(members, member)
+		d := &testDaemon{listener: &resettableListener{Listener: listener}, ended: make(chan error, 1)}
+		d.mesh = &Mesh{Self: member, Clock: clockwork.NewRealClock(), Handler: d, ConfigurationVersion: func() int64 { return 1 }}
+		daemons = append(daemons, d)
+	}
+	for i := range maxAllHubs {
+		members = append(members, Member{Host: fmt.Sprintf("down%d", i), DataCentre: "a", Address: "127.0.0.1:1", Incarnation: "1", Weight: 0.1})
+	}
+	for _, d := range daemons {
+		ctx, cancel := context.WithCancel(t.Context())
+		d.cancel = cancel
+		go func() { d.ended <- d.mesh.Serve(ctx, d.listener) }()
+		t.Cleanup(func() {
+			cancel()
+			<-d.ended
+		})
+	}
+	return daemons, members
+}
+
+// setMembers sets the members once the mesh is started.
+func (d *testDaemon) setMembers(t *testing.T, members []Member) {
+	t.Helper()
+	waitFor(t, 5*time.Second, "the mesh is started", func() bool {
+		d.mesh.SetMembers(members)
+		return d.mesh.Size() >= len(members)
+	})
+}
+
+// TestLeafThatLinksBeforeItsRegistrationIsReadIsNotCutOff lets a hub read the members table without
+// the row of a leaf just after the leaf has opened a link: the hub must keep a link to the
+// leaf, which otherwise receives nothing from it any more.
+func TestLeafThatLinksBeforeItsRegistrationIsReadIsNotCutOff(t *testing.T) {
+	daemons, members := startLargeMesh(t)
+	hub, other, leaf := daemons[0], daemons[1], daemons[2]
+	withoutLeaf := append(slices.Clone(members[:2]), members[3:]...)
+	hub.setMembers(t, withoutLeaf)
+	other.setMembers(t, members)
+	leaf.setMembers(t, members)
+	waitFor(t, 5*time.Second, "the hub knows the leaf", func() bool { return hub.mesh.Size() == len(members) })
+	hub.mesh.SetMembers(withoutLeaf)
+	hub.mesh.SetMembers(members)
+	waitFor(t, 3*time.Second, "the leaf follows the leader", func() bool {
+		return hub.mesh.Leader() != "" && leaf.mesh.Leader() == hub.mesh.Leader() && leaf.mesh.Incarnation(hub.mesh.Self.Host) != ""
+	})
+}
