fix(entry): count the time on the link in the age of a relayed copy

Cause: a follower reads the store only once its copy is 0.95 s old. It took the age from the sender, as of the encoding; the time in the send queue, in a choked link or in retransmissions was left out. A steady stream of updates, all late by the same seconds, kept it from reading for itself. The same holds for the tables of targets and members.

The read time now counts from the bound that the order of the link and the echoes of heartbeats give; without a bound an update changes the copy and confirms nothing.

--- a/internal/cluster/mesh_test.go
+++ b/internal/cluster/mesh_test.go
@@ -287,3 +287,128 @@
 		return hub.mesh.Leader() != "" && leaf.mesh.Leader() == hub.mesh.Leader() && leaf.mesh.Incarnation(hub.mesh.Self.Host) != ""
 	})
 }
+
+// sentEnvelope is an envelope that a sendRecorder has received.
+type sentEnvelope struct {
+	// number is the number of the envelope, receivedAt when it was received.
+	number     int64
+	sentAfter  time.Time
+	receivedAt time.Time
+}
+
+// sendRecorder records the envelopes that a daemon receives.
+type sendRecorder struct {
+	testDaemon
+	received chan sentEnvelope
+}
+
+func (r *sendRecorder) Receive(_ string, sentAfter time.Time, e *clusterpb.Envelope) {
+	r.received <- sentEnvelope{number: e.GetObserved().GetTo(), sentAfter: sentAfter, receivedAt: time.Now()}
+}
+
+// delayedListener delays all bytes that are received over its connections.
+type delayedListener struct {
+	net.Listener
+	delay time.Duration
+}
+
+func (l *delayedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	reader, writer := net.Pipe()
+	type chunk struct {
+		bytes []byte
+		due   time.Time
+	}
+	chunks := make(chan chunk, 1024)
+	go func() {
+		defer close(chunks)
+		for {
+			buffer := make([]byte, 4096)
+			n, err := c.Read(buffer)
+			if err != nil {
+				return
+			}
+			chunks <- chunk{buffer[:n], time.Now().Add(l.delay)}
+		}
+	}()
+	go func() {
+		defer writer.Close()
+		for next := range chunks {
+			time.Sleep(time.Until(next.due))
+			if _, err := writer.Write(next.bytes); err != nil {
+				return
+			}
+		}
+	}()
+	return &delayedConn{Conn: c, delayed: reader}, nil
+}
+
+type delayedConn struct {
+	net.Conn
+	delayed net.Conn
+}
+
+func (c *delayedConn) Read(p []byte) (int, error) { return c.delayed.Read(p) }
+
+func (c *delayedConn) SetReadDeadline(t time.Time) error { return c.delayed.SetReadDeadline(t) }
+
+// TestSentAfterIsNotLaterThanSend sends numbered envelopes over a link with a delay: the receiver
+// must be told a time before each was sent, and one that isn't much earlier.
+func TestSentAfterIsNotLaterThanSend(t *testing.T) {
+	const (
+		delay     = 200 * time.Millisecond
+		envelopes = 20
+		// The echo is of the heartbeat before the last one, on links that have slow heartbeats.
+		maxEarly = 2*slowHeartbeatDivisor*heartbeatInterval + 2*delay
+	)
+	var meshes []*Mesh
+	recorder := &sendRecorder{received: make(chan sentEnvelope, envelopes)}
+	for i, handler := range []Handler{&testDaemon{}, recorder} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &Mesh{
+			Self:  Member{Host: fmt.Sprintf("h%d", i), DataCentre: "a", Address: listener.Addr().String(), Incarnation: "1", Weight: 1},
+			Clock: clockwork.NewRealClock(), Handler: handler, ConfigurationVersion: func() int64 { return 1 },
+		}
+		meshes = append(meshes, m)
+		if i == 1 {
+			listener = &delayedListener{Listener: listener, delay: delay}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- m.Serve(ctx, listener) }()
+		t.Cleanup(func() {
+			cancel()
+			<-ended
+		})
+	}
+	waitFor(t, 5*time.Second, "the daemons are linked", func() bool {
+		for _, m := range meshes {
+			m.SetMembers([]Member{meshes[0].Self, meshes[1].Self})
+		}
+		return meshes[0].Incarnation("h1") != "" && meshes[1].Incarnation("h0") != ""
+	})
+	sentAt := map[int64]time.Time{}
+	for number := int64(1); number <= envelopes; number++ {
+		sentAt[number] = time.Now()
+		if !meshes[0].Send("h1", &clusterpb.Envelope{Kind: &clusterpb.Envelope_Observed{Observed: &clusterpb.Observed{To: number}}}) {
+			t.Fatalf("envelope %d wasn't sent", number)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	for range envelopes {
+		e := <-recorder.received
+		sent := sentAt[e.number]
+		if e.receivedAt.Sub(sent) < delay {
+			t.Fatalf("envelope %d arrived after %v, want the delay of %v", e.number, e.receivedAt.Sub(sent), delay)
+		}
+		if e.sentAfter.After(sent) || sent.Sub(e.sentAfter) > maxEarly {
+			t.Errorf("envelope %d: the bound is %v before the send, want 0 to %v", e.number, sent.Sub(e.sentAfter), maxEarly)
+		}
+	}
+}
--- a/internal/entry/table_codec.go
+++ b/internal/entry/table_codec.go
@@ -68,14 +68,18 @@
 	return encoded
 }
 
-// decodeUpdate decodes an update of another daemon. Contiguous is false if a delta is relative to a
-// row that this daemon's copy doesn't have; the update then has no rows.
-func (r *tableReader) decodeUpdate(m *clusterpb.Observed) (u mirror.Update, contiguous bool) {
+// decodeUpdate decodes an update that another daemon has sent at sentAfter or later. Its age counts
+// from then, since it may have waited for the link; without a bound it has no read time and
+// confirms nothing. Contiguous is false if a delta is relative to a row that this daemon's copy
+// doesn't have; the update then has no rows.
+func (r *tableReader) decodeUpdate(m *clusterpb.Observed, sentAfter time.Time) (u mirror.Update, contiguous bool) {
 	u = mirror.Update{
 		Full:        m.GetWhole(),
 		FromVersion: m.GetFrom(),
 		ToVersion:   m.GetTo(),
-		ReadAt:      r.daemon.Clock.Now().Add(-time.Duration(m.GetAgeMillis()) * time.Millisecond),
+	}
+	if !sentAfter.IsZero() {
+		u.ReadAt = sentAfter.Add(-time.Duration(m.GetAgeMillis()) * time.Millisecond)
 	}
 	var rows []platform.Row
 	for _, encoded := range m.GetRows() {
--- a/internal/entry/table_codec_test.go
+++ b/internal/entry/table_codec_test.go
@@ -45,7 +45,7 @@
 		if c.message == nil {
 			t.Fatalf("%s: the update has no deltas", c.name)
 		}
-		u, contiguous := codecReader(c.copy).decodeUpdate(c.message)
+		u, contiguous := codecReader(c.copy).decodeUpdate(c.message, time.Unix(1000, 0))
 		if contiguous != c.contiguous {
 			t.Errorf("%s: contiguous is %v, want %v", c.name, contiguous, c.contiguous)
 		}
--- a/internal/entry/table_reader.go
+++ b/internal/entry/table_reader.go
@@ -45,7 +45,7 @@
 type origin struct {
 	// sender is the daemon that relayed the rows, empty if this daemon has read them itself.
 	sender string
-	// readAt is when the store was read, as computed from the age that the sender states.
+	// readAt is when the store was read, or earlier; zero if it isn't known.
 	readAt time.Time
 	// sentAfter is the bound of cluster.Handler.Receive, zero if this daemon has read the rows
 	// itself.
@@ -55,17 +55,21 @@
 	lapsed bool
 }
 
-// logFields returns the fields of the origin for log lines. OnLinkMillis is the longest time for
-// which the rows may have been on the link, -1 if that isn't known.
+// logFields returns the fields of the origin for log lines. AgeMillis is the longest time since the
+// store was read, of which the rows may have been on the link for OnLinkMillis; -1 means unknown.
 func (o origin) logFields(now time.Time) []any {
 	if o.sender == "" {
-		return []any{"Source", "Store", "AgeMillis", now.Sub(o.readAt).Milliseconds()}
+		return []any{"Source", "Store", "AgeMillis", millisSince(o.readAt, now)}
 	}
-	onLink := int64(-1)
-	if !o.sentAfter.IsZero() {
-		onLink = now.Sub(o.sentAfter).Milliseconds()
+	return []any{"Source", o.sender, "AgeMillis", millisSince(o.readAt, now), "OnLinkMillis", millisSince(o.sentAfter, now)}
+}
+
+// millisSince returns the time from t to now in milliseconds, or -1 if t is zero.
+func millisSince(t, now time.Time) int64 {
+	if t.IsZero() {
+		return -1
 	}
-	return []any{"Source", o.sender, "AgeMillis", now.Sub(o.readAt).Milliseconds(), "OnLinkMillis", onLink}
+	return now.Sub(t).Milliseconds()
 }
 
 // tableReader maintains a copy of a table of the platform's store. The leader reads the table
@@ -247,7 +251,7 @@
 // handleUpdate applies an update of another daemon and doesn't relay it. If it isn't contiguous
 // with the copy, the whole table is requested from the sender.
 func (r *tableReader) handleUpdate(from string, sentAfter time.Time, m *clusterpb.Observed) {
-	u, contiguous := r.decodeUpdate(m)
+	u, contiguous := r.decodeUpdate(m, sentAfter)
 	if contiguous {
 		_, contiguous = r.applyUpdate(u, origin{sender: from, readAt: u.ReadAt, sentAfter: sentAfter})
 	}
