fix(cluster): open a link anew when its heartbeats are no longer echoed

Callers saw: after connections between the daemons fall silent, a daemon works without a leader and receives no rows until the operating system gives the connection up, which takes minutes.

Cause: nothing closed a link on which bytes are lost without an error.

A link without an echo for 1.5 s is opened anew.

--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -19,13 +19,17 @@
 	// as alive. If the member isn't alive after it, a link to the next-ranked member is required
 	// as well.
 	newLinkGrace = 1500 * time.Millisecond
+	// silentLinkTimeout is the time without an echo of its heartbeats after which a link is opened
+	// anew. A device between the daemons may have lost track of the connection, which the
+	// operating system notices only after minutes.
+	silentLinkTimeout = 1500 * time.Millisecond
 	// unusedLinkTimeout is the time without a heartbeat after which a link that isn't required is
 	// closed.
 	unusedLinkTimeout = 10 * time.Second
 )
 
-// updateLinks opens the required links that are missing, and closes the links to other daemons
-// from which no heartbeat has arrived for unusedLinkTimeout.
+// updateLinks opens the required links that are missing and those that have fallen silent, and
+// closes the links to other daemons from which no heartbeat has arrived for unusedLinkTimeout.
 func (m *Mesh) updateLinks(now time.Time) {
 	required := m.requiredLinks(now)
 	for host := range required {
@@ -34,6 +38,10 @@
 		}
 	}
 	for host, p := range m.peers {
+		if p.connected && now.Sub(p.connectedAt) > silentLinkTimeout && now.Sub(p.echoedSendTime) > silentLinkTimeout {
+			p.connectedAt = now // once for each timeout
+			p.reconnectNow(errLinkSilent)
+		}
 		if !required[host] && now.Sub(p.receivedAt) > unusedLinkTimeout && now.Sub(p.openedAt) > unusedLinkTimeout {
 			p.cancel()
 			delete(m.peers, host)
--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -44,10 +44,11 @@
 	sendQueue chan *clusterpb.Envelope
 	cancel    context.CancelFunc
 	// reconnect holds at most one request to close the link, if it is open, and to open it again
-	// at once.
-	reconnect chan struct{}
-	openedAt  time.Time
-	connected bool
+	// at once. The request is the reason.
+	reconnect chan error
+	// openedAt is when the link was first opened, connectedAt when its present connection was.
+	openedAt, connectedAt time.Time
+	connected             bool
 	// receivedAt is when the last heartbeat arrived, receivedSequence its sequence number.
 	receivedAt       time.Time
 	receivedSequence uint64
@@ -73,7 +74,7 @@
 		member:    member,
 		sendQueue: make(chan *clusterpb.Envelope, sendQueueLength),
 		cancel:    cancel,
-		reconnect: make(chan struct{}, 1),
+		reconnect: make(chan error, 1),
 		openedAt:  m.Clock.Now(),
 	}
 	m.peers[member.Host] = p
@@ -95,14 +96,19 @@
 	}
 }
 
-// errMemberRestarted ends a link that may belong to a former incarnation of a daemon.
-var errMemberRestarted = errors.New("the daemon has restarted")
+var (
+	// errMemberRestarted ends a link that may belong to a former incarnation of a daemon.
+	errMemberRestarted = errors.New("the daemon has restarted")
+	// errLinkSilent ends a link over which no heartbeat seems to have arrived for
+	// silentLinkTimeout.
+	errLinkSilent = errors.New("heartbeats are not echoed")
+)
 
 // reconnectNow requests that the link be opened again at once. A dial in progress is
 // cancelled, since it may have begun while the host was down.
-func (p *peer) reconnectNow() {
+func (p *peer) reconnectNow(reason error) {
 	select {
-	case p.reconnect <- struct{}{}:
+	case p.reconnect <- reason:
 	default:
 	}
 }
@@ -166,9 +172,9 @@
 	defer close(dialed)
 	go func() {
 		select {
-		case <-p.reconnect:
+		case reason := <-p.reconnect:
 			cancel()
-			p.reconnectNow() // the request was consumed here; the next attempt must not wait
+			p.reconnectNow(reason) // the request was consumed here; the next attempt must not wait
 		case <-dialed:
 		}
 	}()
@@ -218,7 +224,7 @@
 		return err
 	}
 	m.mu.Lock()
-	p.connected, p.dialRefused = true, false
+	p.connected, p.connectedAt, p.dialRefused = true, m.Clock.Now(), false
 	host := p.member.Host
 	m.mu.Unlock()
 	m.Handler.LinkOpened(host)
@@ -229,9 +235,9 @@
 			return nil
 		case <-closed:
 			return io.EOF
-		case <-p.reconnect:
-			p.reconnectNow() // the request was consumed here; the next attempt must not wait
-			return errMemberRestarted
+		case reason := <-p.reconnect:
+			p.reconnectNow(reason) // the request was consumed here; the next attempt must not wait
+			return reason
 		case e := <-p.sendQueue:
 			if err := writeEnvelopes(writer, stream, e, p.sendQueue); err != nil {
 				return err
@@ -365,7 +371,7 @@
 		p = m.openLink(sender)
 	}
 	if !p.connected {
-		p.reconnectNow()
+		p.reconnectNow(errMemberRestarted)
 	}
 	p.incomingClosed = false
 	if restarted {
--- a/internal/cluster/mesh.go
+++ b/internal/cluster/mesh.go
@@ -185,7 +185,7 @@
 		m.openLink(member)
 	default:
 		p.member = member
-		p.reconnectNow() // an open link may still lead to the former incarnation
+		p.reconnectNow(errMemberRestarted) // an open link may still lead to the former incarnation
 	}
 	return true
 }
