fix(entry): quarantine prompt parts that crash engines

Cause: a crash counted against the engine only. Nothing remembered what the request had in common with those before it, and each of them was sent to maxAttempts engines.

A part is quarantined after three such crashes without an answered request in between.

--- a/internal/dispatch/action.go
+++ b/internal/dispatch/action.go
@@ -139,6 +139,9 @@
 	// NoTarget means that a service has no usable target. The planner itself doesn't return
 	// it; package scheduler uses it for requests without an engine.
 	NoTarget Reason = "NoTarget"
+	// Quarantined means that the prompt has a part that crashes engines. The planner itself
+	// doesn't return it either.
+	Quarantined Reason = "Quarantined"
 )
 
 func (StartCall) isAction()        {}
--- a/internal/entry/cluster_handler.go
+++ b/internal/entry/cluster_handler.go
@@ -21,6 +21,8 @@
 		if r := d.tableReaders[k.ObservedDeltas.GetTable()]; r != nil {
 			r.handleUpdate(from, sentAfter, k.ObservedDeltas)
 		}
+	case *clusterpb.Envelope_Quarantine:
+		d.quarantine.receive(from, k.Quarantine)
 	case *clusterpb.Envelope_Wanted:
 		if r := d.tableReaders[k.Wanted.GetTable()]; r != nil {
 			r.sendTable(from)
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -20,8 +20,9 @@
 // testCluster is a store and daemons in one process. The daemons have links and read the store's
 // tables, but accept no clients.
 type testCluster struct {
-	store   *standinplatform.Server
-	daemons []*Daemon
+	store        *standinplatform.Server
+	storeAddress string
+	daemons      []*Daemon
 }
 
 // hostSpec describes one daemon of a testCluster.
@@ -31,19 +32,18 @@
 	cpuShare float64
 	// ingress limits the bytes that the links to the daemon carry; nil means no limit.
 	ingress []*bandwidth
+	// unlinked means that no other daemon can open a link to this one.
+	unlinked bool
 }
 
 // startCluster starts the daemons and waits until all use the configuration.
 func startCluster(t *testing.T, hosts []hostSpec, configuration []byte) *testCluster {
 	t.Helper()
-	c := &testCluster{store: &standinplatform.Server{}}
+	c := &testCluster{}
+	c.store, c.storeAddress = startStore(t)
 	c.store.Put(standinplatform.Row{Table: platform.TableOperator, Key: "config", Value: configuration})
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	listener := listen(t)
-	go func() { _ = c.store.Serve(ctx, listener) }()
 	for i, h := range hosts {
-		c.daemons = append(c.daemons, startDaemon(t, fmt.Sprintf("h-%d", i), h, listener.Addr().String()))
+		c.daemons = append(c.daemons, startDaemon(t, fmt.Sprintf("h-%d", i), h, c.storeAddress))
 	}
 	var settledAt time.Time
 	waitUntil(t, 30*time.Second, "all daemons follow one leader and have a configuration", func() bool {
@@ -69,6 +69,17 @@
 	return true
 }
 
+// startStore starts a store and returns it with its address. It stops at the end of the test.
+func startStore(t *testing.T) (store *standinplatform.Server, address string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	listener := listen(t)
+	store = &standinplatform.Server{}
+	go func() { _ = store.Serve(ctx, listener) }()
+	return store, listener.Addr().String()
+}
+
 // startDaemon starts the parts of a daemon that follow the store. They stop at the end of the test.
 func startDaemon(t *testing.T, host string, h hostSpec, storeAddress string) *Daemon {
 	t.Helper()
@@ -86,6 +97,11 @@
 	if err := createComponents(d, t.Context()); err != nil {
 		t.Fatal(err)
 	}
+	if h.unlinked {
+		closed := listen(t)
+		d.mesh.Self.Address = closed.Addr().String()
+		_ = closed.Close()
+	}
 	d.tasks.start("scheduler", d.scheduler.Run)
 	d.tasks.start("peers", func(ctx context.Context) error {
 		return d.mesh.Serve(ctx, &limitedListener{Listener: peers, limits: h.ingress})
@@ -94,6 +110,7 @@
 		d.tasks.start("read "+table, reader.run)
 	}
 	d.tasks.start("register", d.members.register)
+	d.tasks.start("quarantine", d.quarantine.run)
 	t.Cleanup(d.tasks.stopAll)
 	return d
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/sequoiapick/sequoiapick/internal/ingress"
 	"github.com/sequoiapick/sequoiapick/internal/inventory"
 	"github.com/sequoiapick/sequoiapick/internal/metric"
+	"github.com/sequoiapick/sequoiapick/internal/quarantine"
 	"github.com/sequoiapick/sequoiapick/internal/scheduler"
 	"github.com/sequoiapick/sequoiapick/pkg/route"
 	"github.com/sequoiapick/sequoiapick/platform"
@@ -78,6 +79,7 @@
 	metrics      *metric.EntryInstruments
 	tableReaders map[string]*tableReader
 	members      memberTable
+	quarantine   quarantineTable
 
 	listeners listeners
 	stopping  atomic.Bool
@@ -173,6 +175,8 @@
 		Log:                  d.log,
 		ConfigurationVersion: d.configurationVersion,
 	}
+	tracker := &quarantine.Tracker{Clock: d.Clock}
+	d.quarantine = quarantineTable{daemon: d, tracker: tracker, changes: make(chan quarantineChange, quarantineQueueLength)}
 	d.scheduler = &scheduler.Scheduler{
 		Host:            s.Host,
 		Mesh:            d.mesh,
@@ -180,6 +184,9 @@
 		Clock:           d.Clock,
 		Log:             d.log,
 		CacheLifetime:   s.Bounds.CacheReuse,
+		Quarantine:      tracker,
+		PartQuarantined: d.quarantine.hold,
+		PartReleased:    d.quarantine.release,
 		EngineFailed:    d.inventory.RecordFailure,
 		EngineSucceeded: d.inventory.RecordSuccess,
 	}
@@ -192,6 +199,7 @@
 		Clock:      d.Clock,
 		Log:        d.log,
 		DataCentre: s.DataCentre,
+		Quarantine: tracker,
 		RetryBudget: &forward.RetryBudget{
 			Clock:   d.Clock,
 			Ratio:   s.Bounds.RetryRatio,
@@ -267,6 +275,7 @@
 		t.start("read "+table, reader.run)
 	}
 	t.start("register", d.members.register)
+	t.start("quarantine", d.quarantine.run)
 	t.start("world", d.updateScheduler)
 	t.start("sweep", d.closeExpiredConnections)
 	t.start("reach", d.watchReachability)
--- /dev/null
+++ b/internal/entry/quarantine.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/quarantine"
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+	"github.com/sequoiapick/sequoiapick/platform"
+)
+
+const (
+	// quarantineExpiryInterval is the time between two checks for quarantines that are over.
+	quarantineExpiryInterval = 10 * time.Second
+	// quarantineQueueLength limits the changes that wait to be written to the store.
+	quarantineQueueLength = 256
+)
+
+// quarantineTable shares the quarantined parts of prompts among the daemons: over the links at once,
+// and through a table of the store, which reaches daemons without a link to the finder and those
+// that start later.
+type quarantineTable struct {
+	daemon  *Daemon
+	tracker *quarantine.Tracker
+	changes chan quarantineChange
+}
+
+// quarantineChange is the begin or the end of a quarantine.
+type quarantineChange struct {
+	part     quarantine.Part
+	released bool
+}
+
+// hold shares a part that this daemon has quarantined.
+func (q *quarantineTable) hold(p quarantine.Part) { q.share(quarantineChange{part: p}) }
+
+// release shares the end of a quarantine that this daemon has ended.
+func (q *quarantineTable) release(p quarantine.Part) {
+	q.share(quarantineChange{part: p, released: true})
+}
+
+func (q *quarantineTable) share(c quarantineChange) {
+	q.log(c, "Self")
+	q.daemon.mesh.Broadcast(&clusterpb.Envelope{Kind: &clusterpb.Envelope_Quarantine{Quarantine: &clusterpb.Quarantine{
+		Service: c.part.Service, Part: c.part.ID, Released: c.released,
+	}}})
+	select {
+	case q.changes <- c:
+	default:
+		q.daemon.log.Emit(event.LoopFailed, "Task", "quarantine", "Reason", "too many changes wait for the store", "Part", c.part.ID)
+	}
+}
+
+// receive applies a change of another daemon.
+func (q *quarantineTable) receive(from string, m *clusterpb.Quarantine) {
+	q.apply(quarantineChange{part: quarantine.Part{Service: m.GetService(), ID: m.GetPart()}, released: m.GetReleased()}, from)
+}
+
+// applyRows handles rows of the table, each of which holds one quarantined part.
+func (q *quarantineTable) applyRows(changes []platform.Row, _ origin) {
+	for _, row := range changes {
+		if row.Deleted {
+			for _, p := range q.tracker.Held() {
+				if quarantineKey(p) == row.Key {
+					q.apply(quarantineChange{part: p, released: true}, "Store")
+				}
+			}
+			continue
+		}
+		var p quarantine.Part
+		if err := json.Unmarshal(row.Value, &p); err != nil || quarantineKey(p) != row.Key {
+			q.daemon.log.Emit(event.LoopFailed, "Task", "read "+platform.TableQuarantine, "Reason", "malformed row", "Key", row.Key)
+			continue
+		}
+		q.apply(quarantineChange{part: p}, "Store")
+	}
+}
+
+// apply applies a change of the source, which is a host or the store.
+func (q *quarantineTable) apply(c quarantineChange, source string) {
+	changed := false
+	if c.released {
+		changed = q.tracker.Release(c.part)
+	} else {
+		changed = q.tracker.Hold(c.part)
+	}
+	if changed {
+		q.log(c, source)
+	}
+}
+
+func (q *quarantineTable) log(c quarantineChange, source string) {
+	e := event.PartQuarantined
+	if c.released {
+		e = event.PartReleased
+	}
+	q.daemon.log.Emit(e, "Service", c.part.Service, "Part", c.part.ID, "Source", source)
+}
+
+// run writes the changes of this daemon to the store and ends quarantines that are over, until the
+// context ends.
+func (q *quarantineTable) run(ctx context.Context) error {
+	ticker := q.daemon.Clock.NewTicker(quarantineExpiryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-q.changes:
+			q.write(ctx, c)
+		case <-ticker.Chan():
+			q.removeExpired()
+		}
+	}
+}
+
+// removeExpired ends the quarantines that are over; the leader removes their rows.
+func (q *quarantineTable) removeExpired() {
+	for _, p := range q.tracker.RemoveExpired() {
+		if q.daemon.mesh.Leader() == q.daemon.settings.Host {
+			q.release(p)
+			continue
+		}
+		q.log(quarantineChange{part: p, released: true}, "Self")
+	}
+}
+
+// write writes a change to the store; it retries until that succeeds or the context ends.
+func (q *quarantineTable) write(ctx context.Context, c quarantineChange) {
+	row := platform.Row{Table: platform.TableQuarantine, Key: quarantineKey(c.part)}
+	tx := platform.Transaction{Removals: []platform.Row{row}}
+	if !c.released {
+		value, err := json.Marshal(c.part)
+		if err != nil {
+			q.daemon.log.Emit(event.LoopFailed, "Task", "quarantine", "Reason", problem.New(problem.Internal, "encode part: %v", err).Error())
+			return
+		}
+		row.Value = value
+		tx = platform.Transaction{Puts: []platform.Row{row}}
+	}
+	var retry backoff
+	for ctx.Err() == nil {
+		_, err := q.daemon.store.Commit(ctx, tx)
+		if err == nil {
+			return
+		}
+		q.daemon.log.Emit(event.LoopFailed, "Task", "quarantine", "Reason", err.Error())
+		q.daemon.sleep(ctx, retry.next())
+	}
+}
+
+// quarantineKey returns the key of the row of a part. Clients choose the IDs of parts, which may be
+// longer than a key.
+func quarantineKey(p quarantine.Part) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64String(p.Service+"\x00"+p.ID))
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -12,6 +12,7 @@
 	"github.com/sequoiapick/sequoiapick/internal/dispatch"
 	"github.com/sequoiapick/sequoiapick/internal/event"
 	"github.com/sequoiapick/sequoiapick/internal/metric"
+	"github.com/sequoiapick/sequoiapick/internal/quarantine"
 )
 
 // The paths on the metrics port of an entry host.
@@ -44,6 +45,8 @@
 	Members      []MemberState
 	Services     []dispatch.ServiceState
 	Targets      []TargetState
+	// Quarantined are the parts of prompts with which no request is sent to a target.
+	Quarantined []quarantine.Part
 }
 
 // TableState describes the daemon's copy of a table of the platform's store.
@@ -94,6 +97,7 @@
 		LinesDropped: d.droppedLogLines(),
 	}
 	s.Services, s.Requests = d.scheduler.State()
+	s.Quarantined = d.quarantine.tracker.Held()
 	for name, r := range d.tableReaders {
 		version, age := r.versionAndAge()
 		s.Tables = append(s.Tables, TableState{Name: name, Version: version, AgeMillis: age.Milliseconds()})
@@ -191,6 +195,7 @@
 		{Name: "SequoiapickMembersAlive", Description: "other daemons that are alive", Values: single(alive)},
 		{Name: "SequoiapickLeads", Description: "1 on the leader, 0 on the others", Values: single(leads)},
 		{Name: "SequoiapickConfigurationVersion", Description: "version of the configuration in use", Values: single(float64(s.Version))},
+		{Name: "SequoiapickQuarantinedParts", Description: "parts of prompts with which no request is sent to a target", Values: single(float64(len(s.Quarantined)))},
 		{Name: "SequoiapickConnections", Description: "open client connections", Values: single(float64(s.Connections))},
 		{Name: "SequoiapickLinesDropped", Description: "log lines dropped so far", Values: single(float64(s.LinesDropped))},
 	}
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -24,6 +24,10 @@
 	// only when daemons start or stop.
 	membersFeedTimeout    = 2 * time.Second
 	membersFollowerMaxAge = 4 * time.Second
+	// quarantineFeedTimeout and quarantineFollowerMaxAge are long too: the table changes seldom,
+	// a feed returns at once when it does, and the finder of a part also uses the links.
+	quarantineFeedTimeout    = 5 * time.Second
+	quarantineFollowerMaxAge = 8 * time.Second
 )
 
 // createTableReaders creates the readers of the store's tables.
@@ -41,9 +45,10 @@
 		}
 	}
 	d.tableReaders = map[string]*tableReader{
-		platform.TableOperator: reader(platform.TableOperator, operatorFeedTimeout, 0, operatorFollowerMaxAge, d.applyOperatorRows),
-		platform.TableTargets:  reader(platform.TableTargets, 0, targetsLeaderInterval, targetsFollowerMaxAge, d.applyTargetRows),
-		platform.TableMembers:  reader(platform.TableMembers, membersFeedTimeout, 0, membersFollowerMaxAge, d.members.applyRows),
+		platform.TableOperator:   reader(platform.TableOperator, operatorFeedTimeout, 0, operatorFollowerMaxAge, d.applyOperatorRows),
+		platform.TableTargets:    reader(platform.TableTargets, 0, targetsLeaderInterval, targetsFollowerMaxAge, d.applyTargetRows),
+		platform.TableMembers:    reader(platform.TableMembers, membersFeedTimeout, 0, membersFollowerMaxAge, d.members.applyRows),
+		platform.TableQuarantine: reader(platform.TableQuarantine, quarantineFeedTimeout, 0, quarantineFollowerMaxAge, d.quarantine.applyRows),
 	}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,6 +51,9 @@
 	StageCallEnded      = Event{311, "StageCallEnded", "a call to a stage target returned its results"}
 	WorkHandedOver      = Event{312, "WorkHandedOver", "this daemon handed its scheduled requests over to the new leader"}
 	WorkInherited       = Event{313, "WorkInherited", "this daemon leads now and resumes from the results and calls of a former leader that is not alive"}
+	PartSuspected       = Event{314, "PartSuspected", "an engine broke off its answer to a request before the first event, which is evidence against the parts of the prompt"}
+	PartQuarantined     = Event{315, "PartQuarantined", "requests with a part of a prompt are rejected because engines crash when they answer them"}
+	PartReleased        = Event{316, "PartReleased", "requests with a formerly quarantined part of a prompt are sent to engines again"}
 	StageCallFailed     = Event{307, "StageCallFailed", "a call to a stage target failed; if it ran pieces, they go to another target"}
 	TargetDeclined      = Event{308, "TargetDeclined", "this daemon rejected the target that the leader assigned, since it knows the target to accept no new requests"}
 	TargetCold          = Event{400, "TargetCold", "a target has become cold"}
@@ -91,6 +94,7 @@
 		EntryAnswered,
 		StageRouted, StageHeld, StageRefused, AttemptFailed, AttemptForwarded, AttemptHedged, LateAnswerDropped,
 		StageCallFailed, TargetDeclined, EngineAssigned, JobRejected, StageCallEnded, WorkHandedOver, WorkInherited,
+		PartSuspected, PartQuarantined, PartReleased,
 		TargetCold, TargetLeaving, TargetMalformed,
 		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected, LinkLost, LeaderChanged, MemberLearned,
 		DataCentreCut, DataCentreReached,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -31,6 +31,7 @@
 	"github.com/sequoiapick/sequoiapick/internal/ingress"
 	"github.com/sequoiapick/sequoiapick/internal/inventory"
 	"github.com/sequoiapick/sequoiapick/internal/metric"
+	"github.com/sequoiapick/sequoiapick/internal/quarantine"
 	"github.com/sequoiapick/sequoiapick/internal/scheduler"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
 	"github.com/sequoiapick/sequoiapick/pkg/route"
@@ -52,6 +53,8 @@
 	DataCentre string
 	// RetryBudget bounds the repeated sends of requests.
 	RetryBudget *RetryBudget
+	// Quarantine tells which parts of prompts crash engines; nil quarantines none.
+	Quarantine *quarantine.Tracker
 
 	load  targetLoads
 	sizes meanSizes
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"strconv"
 	"time"
 
@@ -32,6 +33,9 @@
 // may be sent again.
 func (q *requestState) generate(ctx context.Context) {
 	job, err := q.job()
+	if err == nil {
+		err = q.checkQuarantine()
+	}
 	if err != nil {
 		q.reject(err, 0)
 		return
@@ -48,7 +52,15 @@
 		assigned, ok := update.(scheduler.Assigned)
 		if !ok {
 			rejected := update.(scheduler.Rejected)
-			q.failGeneration(ctx, s, problem.New(problem.Overloaded, "%s", rejected.Reason), rejected.RetryAfter)
+			kind := problem.Overloaded
+			if rejected.Reason == string(dispatch.Quarantined) {
+				kind = problem.Quarantined
+			}
+			q.failGeneration(ctx, s, problem.New(kind, "%s", rejected.Reason), rejected.RetryAfter)
+			return
+		}
+		if err := q.checkQuarantine(); err != nil {
+			q.failGeneration(ctx, s, err, 0)
 			return
 		}
 		q.assignedAt = q.f.Clock.Now()
@@ -69,13 +81,31 @@
 			return
 		}
 		if ctx.Err() != nil || s.started() && !q.route.Resumable || q.mayHaveRun && !q.route.Idempotent() {
+			if outcome.crashedAtStart {
+				ticket.EngineCrashedAtStart()
+			}
 			q.failGeneration(ctx, s, outcome.err, busyRetryAfter)
 			return
 		}
-		ticket.Reassign(scheduler.EngineFailure{Target: target.ID, InputsGone: outcome.inputsGone, Faulty: outcome.faulty})
+		ticket.Reassign(scheduler.EngineFailure{Target: target.ID, InputsGone: outcome.inputsGone, Faulty: outcome.faulty, CrashedAtStart: outcome.crashedAtStart})
 	}
 }
 
+// checkQuarantine returns an error of kind Quarantined if a part of the prompt crashes engines.
+func (q *requestState) checkQuarantine() error {
+	if q.f.Quarantine == nil {
+		return nil
+	}
+	ids := make([]string, 0, len(q.headers.Parts))
+	for _, p := range q.headers.Parts {
+		ids = append(ids, p.ID)
+	}
+	if part, blocked := q.f.Quarantine.Blocks(q.service, ids); blocked {
+		return problem.New(problem.Quarantined, "part %s of the prompt crashes targets of %s", part.ID, part.Service)
+	}
+	return nil
+}
+
 // job returns the scheduler's job for the request; its error has kind Invalid.
 func (q *requestState) job() (scheduler.Job, error) {
 	headers, r := q.headers, q.route
@@ -153,7 +183,9 @@
 	inputsGone bool
 	// faulty is set if the engine itself failed, rather than rejecting the request.
 	faulty bool
-	err    error
+	// crashedAtStart is set if the engine broke off its answer before the first event.
+	crashedAtStart bool
+	err            error
 }
 
 // sendToEngine sends the request to one engine and relays its stream to the client.
@@ -180,6 +212,7 @@
 	}
 	q.mayHaveRun = true
 	ticket.AnswerStarted()
+	eventsBefore := s.events
 	err = s.relay(ctx, answer)
 	if err == nil {
 		f.Pool.Release(conn)
@@ -194,7 +227,7 @@
 	}
 	f.Inventory.RecordFailure(target.ID)
 	q.recordFailure(target.ID, outcomeBroken, "Reason", err.Error(), "LastEvent", s.lastEventID)
-	return engineOutcome{err: err, inputsGone: true, faulty: true}
+	return engineOutcome{err: err, inputsGone: true, faulty: true, crashedAtStart: s.events == eventsBefore && !errors.Is(err, os.ErrDeadlineExceeded)}
 }
 
 // statusConflict is the status of an engine whose inputs no longer exist.
@@ -243,6 +276,8 @@
 type stream struct {
 	request     *requestState
 	lastEventID string
+	// events is the number of writes of events to the client.
+	events int
 	// pending holds the bytes of an incomplete event.
 	pending []byte
 }
@@ -294,6 +329,7 @@
 	}
 	end += len(eventSeparator)
 	whole := s.pending[:end]
+	s.events++
 	if _, err := s.request.w.Write(whole); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,276 @@
+// Package quarantine finds prompt parts that crash engines, and tells which requests must not be
+// sent to any engine because of them. It does no I/O.
+//
+// An engine serves many requests at a time, and all of them break off when it crashes. What tells
+// the part that caused it from the others is that no request with it is ever answered. Evidence
+// against a part is therefore a crash of an engine that has begun to answer a request with it
+// and has sent no event yet; an answered request clears all its parts. A part is quarantined after
+// several crashes without an answer in between, provided that engines of the service answer other
+// requests meanwhile: during an outage of the service, nothing can clear a part.
+//
+// The last part of a prompt belongs to one request or session and isn't tracked.
+//
+// # Usage
+//
+//	t := &quarantine.Tracker{Clock: clock}
+//	found := t.RecordCrash(service, parts) // report them to the other daemons
+//	t.RecordAnswer(service, parts)
+//	if part, blocked := t.Blocks(service, parts); blocked { ... }
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// crashesToQuarantine is the number of crashes without an answer in between after which a
+	// part is quarantined.
+	crashesToQuarantine = 3
+	// minOtherAnswers is the number of other requests of the service that must be answered
+	// between the first of these crashes and the last.
+	minOtherAnswers = 3
+	// minCrashInterval is the time after a crash within which others count as the same one: a
+	// failure of the network breaks off the answers of many engines at once.
+	minCrashInterval = 150 * time.Millisecond
+	// suspicionLifetime is the time without a crash after which the earlier ones are forgotten.
+	suspicionLifetime = 2 * time.Minute
+	// holdTime is how long a part is quarantined after it was learned of. Requests with it are
+	// then sent again, since the engines may have been repaired.
+	holdTime = 10 * time.Minute
+	// maxSuspects limits the memory for suspected parts; those with the oldest crashes are
+	// forgotten first.
+	maxSuspects = 4096
+)
+
+// Part is one part of the prompts of a service.
+type Part struct {
+	Service string
+	ID      string
+}
+
+// Suspicion is the evidence against a part; no crashes mean that it was cleared.
+type Suspicion struct {
+	Part    Part
+	Crashes int
+}
+
+// Tracker holds the suspected and the quarantined parts. Only its Clock is required. It is safe
+// for concurrent use.
+type Tracker struct {
+	Clock clockwork.Clock
+
+	mu       sync.Mutex
+	suspects map[Part]*suspect
+	// held is when the quarantine of a part ends.
+	held map[Part]time.Time
+	// answers is the number of answered requests by service.
+	answers map[string]int
+}
+
+// suspect is the evidence against one part.
+type suspect struct {
+	crashes   int
+	crashedAt time.Time
+	// answersBefore is the number of answered requests of the service at the first crash.
+	answersBefore int
+}
+
+// RecordCrash records that an engine crashed when it began to answer a request with the parts. It
+// returns the parts whose evidence has changed, and those that are quarantined from now on.
+func (t *Tracker) RecordCrash(service string, parts []string) (changed []Suspicion, found []Part) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	shared := sharedParts(service, parts)
+	for _, p := range shared {
+		if t.holds(p, now) {
+			return nil, nil // the crash is explained
+		}
+	}
+	for _, p := range shared {
+		s := t.suspect(p, now)
+		if s.crashes > 0 && now.Sub(s.crashedAt) < minCrashInterval {
+			continue
+		}
+		s.crashes++
+		s.crashedAt = now
+		changed = append(changed, Suspicion{Part: p, Crashes: s.crashes})
+		if s.crashes >= crashesToQuarantine && t.answers[service]-s.answersBefore >= minOtherAnswers {
+			t.hold(p, now)
+			found = append(found, p)
+		}
+	}
+	return changed, found
+}
+
+// RecordAnswer records that a request with the parts was answered completely. It returns the parts
+// that were cleared, and those whose quarantine ends because of it.
+func (t *Tracker) RecordAnswer(service string, parts []string) (cleared []Suspicion, released []Part) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.answers == nil {
+		t.answers = map[string]int{}
+	}
+	t.answers[service]++
+	if len(t.suspects) == 0 && len(t.held) == 0 {
+		return nil, nil
+	}
+	for _, p := range sharedParts(service, parts) {
+		if t.suspects[p] != nil {
+			delete(t.suspects, p)
+			cleared = append(cleared, Suspicion{Part: p})
+		}
+		if _, held := t.held[p]; held {
+			delete(t.held, p)
+			released = append(released, p)
+		}
+	}
+	return cleared, released
+}
+
+// Inherit replaces the evidence against a part by that of another daemon.
+func (t *Tracker) Inherit(s Suspicion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s.Crashes == 0 {
+		delete(t.suspects, s.Part)
+		return
+	}
+	now := t.Clock.Now()
+	own := t.suspect(s.Part, now)
+	own.crashes, own.crashedAt = s.Crashes, now
+}
+
+// Hold quarantines a part that another daemon has found. It reports whether that is a change.
+func (t *Tracker) Hold(p Part) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	if t.holds(p, now) {
+		return false
+	}
+	t.hold(p, now)
+	return true
+}
+
+// Release ends the quarantine of a part. It reports whether that is a change.
+func (t *Tracker) Release(p Part) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, held := t.held[p]
+	delete(t.held, p)
+	return held
+}
+
+// Blocks returns a quarantined part of a request, and false if it has none.
+func (t *Tracker) Blocks(service string, parts []string) (Part, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.held) == 0 {
+		return Part{}, false
+	}
+	now := t.Clock.Now()
+	for _, p := range sharedParts(service, parts) {
+		if t.holds(p, now) {
+			return p, true
+		}
+	}
+	return Part{}, false
+}
+
+// Held returns the quarantined parts, sorted by service and ID.
+func (t *Tracker) Held() []Part {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	var list []Part
+	for p := range t.held {
+		if t.holds(p, now) {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(a, b Part) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
+
+// RemoveExpired ends the quarantines that are over and returns their parts. The next crash with
+// such a part quarantines it again.
+func (t *Tracker) RemoveExpired() []Part {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	var expired []Part
+	for p := range t.held {
+		if t.holds(p, now) {
+			continue
+		}
+		delete(t.held, p)
+		s := t.suspect(p, now)
+		s.crashes, s.crashedAt = crashesToQuarantine-1, now.Add(-minCrashInterval)
+		expired = append(expired, p)
+	}
+	return expired
+}
+
+func (t *Tracker) holds(p Part, now time.Time) bool {
+	until, held := t.held[p]
+	return held && now.Before(until)
+}
+
+func (t *Tracker) hold(p Part, now time.Time) {
+	if t.held == nil {
+		t.held = map[Part]time.Time{}
+	}
+	t.held[p] = now.Add(holdTime)
+	delete(t.suspects, p)
+}
+
+// suspect returns the evidence against a part, new evidence if there is none that still counts.
+func (t *Tracker) suspect(p Part, now time.Time) *suspect {
+	s := t.suspects[p]
+	if s != nil && now.Sub(s.crashedAt) < suspicionLifetime {
+		return s
+	}
+	if t.suspects == nil {
+		t.suspects = map[Part]*suspect{}
+	}
+	if s == nil && len(t.suspects) >= maxSuspects {
+		t.forgetOldest()
+	}
+	s = &suspect{answersBefore: t.answers[p.Service], crashedAt: now}
+	t.suspects[p] = s
+	return s
+}
+
+func (t *Tracker) forgetOldest() {
+	var oldest Part
+	var at time.Time
+	for p, s := range t.suspects {
+		if at.IsZero() || s.crashedAt.Before(at) {
+			oldest, at = p, s.crashedAt
+		}
+	}
+	delete(t.suspects, oldest)
+}
+
+// sharedParts returns the distinct parts of a prompt that other requests may share, which are all
+// but the last.
+func sharedParts(service string, parts []string) []Part {
+	if len(parts) < 2 {
+		return nil
+	}
+	list := make([]Part, 0, len(parts)-1)
+	for _, id := range parts[:len(parts)-1] {
+		if p := (Part{Service: service, ID: id}); !slices.Contains(list, p) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -42,6 +42,7 @@
 	"github.com/sequoiapick/sequoiapick/internal/exchange"
 	"github.com/sequoiapick/sequoiapick/internal/metric"
 	"github.com/sequoiapick/sequoiapick/internal/placement"
+	"github.com/sequoiapick/sequoiapick/internal/quarantine"
 	"github.com/sequoiapick/sequoiapick/pkg/service"
 )
 
@@ -138,6 +139,11 @@
 	// EngineFailed and EngineSucceeded are called when other daemons report the outcome at the
 	// engine of their request; they may be nil.
 	EngineFailed, EngineSucceeded func(target string)
+	// Quarantine tracks the parts of prompts that crash engines; nil quarantines none.
+	Quarantine *quarantine.Tracker
+	// PartQuarantined and PartReleased are called when this daemon has found that a part must be
+	// quarantined or released. They must not block, and are needed with Quarantine only.
+	PartQuarantined, PartReleased func(quarantine.Part)
 	// CacheLifetime is the time after its last use for which a prompt part counts as cached by
 	// an engine; 0 uses the default of package placement.
 	CacheLifetime time.Duration
@@ -278,6 +284,9 @@
 	}
 	r := &request{origin: origin, generation: job.Generation, expiresAt: job.Deadline.Add(retentionAfterDeadline)}
 	s.requests[job.ID] = r
+	if s.rejectQuarantined(job.ID, r) {
+		return
+	}
 	if job.Assigned != "" {
 		s.selector.RecordAssignment(now, job.Generation, job.Assigned, job.AnswerStarted)
 	}
@@ -336,6 +345,9 @@
 // assign chooses the engine and sends it to the origin. Without a usable engine it rejects the
 // request, unless a cold engine can accept it later.
 func (s *Scheduler) assign(id string, r *request) {
+	if s.rejectQuarantined(id, r) {
+		return
+	}
 	now := s.Clock.Now()
 	engine, ok := s.selector.Choose(now, r.generation)
 	r.heldByColdRate = !ok && s.selector.HeldByColdRate(now, r.generation)
@@ -391,6 +403,9 @@
 	if r == nil {
 		return
 	}
+	if f.CrashedAtStart {
+		s.recordCrash(id, r)
+	}
 	s.selector.Remove(id)
 	r.assigned, r.heldByColdRate = nil, false
 	if r.generation.Exclude == nil {
--- a/internal/scheduler/standby.go
+++ b/internal/scheduler/standby.go
@@ -116,7 +116,7 @@
 // doesn't lead drops its changes, since no daemon inherits from it.
 func (s *Scheduler) updateStandbys() {
 	changes := s.pendingHoldings
-	if changes == nil || len(changes.GetMade())+len(changes.GetFreed())+len(changes.GetStarted())+len(changes.GetEnded()) == 0 {
+	if changes == nil || len(changes.GetMade())+len(changes.GetFreed())+len(changes.GetStarted())+len(changes.GetEnded())+len(changes.GetSuspects()) == 0 {
 		return
 	}
 	s.pendingHoldings = nil
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -24,9 +24,10 @@
 	waitingSince time.Time
 	// excluded are the IDs of the engines that the request was assigned to before.
 	excluded map[string]bool
-	// answerCompleted is set once the engine has completed its answer; Close reports it to the
-	// owner.
-	answerCompleted bool
+	// answerCompleted is set once the engine has completed its answer, crashedAtStart once one has
+	// failed as in EngineFailure.CrashedAtStart and no other is requested; Close reports them to
+	// the owner.
+	answerCompleted, crashedAtStart bool
 	// running are the pieces of the former owner's running calls, as of runningAt.
 	running   []dispatch.RunningPiece
 	runningAt time.Time
@@ -54,6 +55,8 @@
 	InputsGone bool
 	// Faulty is set if the failure counts against the engine's health.
 	Faulty bool
+	// CrashedAtStart is set if the engine broke off its answer before the first event.
+	CrashedAtStart bool
 }
 
 // Reassign requests another engine, after the assigned one didn't run the request or aborted
@@ -75,7 +78,7 @@
 			return
 		}
 		e := &clusterpb.Envelope{Kind: &clusterpb.Envelope_Again{Again: &clusterpb.Again{
-			ID: t.job.ID, Failed: failure.Target, InputsGone: failure.InputsGone, Faulty: failure.Faulty,
+			ID: t.job.ID, Failed: failure.Target, InputsGone: failure.InputsGone, Faulty: failure.Faulty, CrashedAtStart: failure.CrashedAtStart,
 		}}}
 		if t.owner != "" && t.owner != s.Host && s.ownerAlive(t) && s.Mesh.Send(t.owner, e) {
 			return
@@ -101,11 +104,18 @@
 	t.scheduler.post(func() { t.answerCompleted = true })
 }
 
+// EngineCrashedAtStart records the last failure of a request that isn't reassigned; see
+// EngineFailure.CrashedAtStart. Close, which must follow, reports it to the owner.
+func (t *Ticket) EngineCrashedAtStart() {
+	t.scheduler.post(func() { t.crashedAtStart = true })
+}
+
 // Close reports that the request is over, whatever its outcome.
 func (t *Ticket) Close() {
 	s := t.scheduler
 	s.post(func() {
-		s.notifyOwner(t, &clusterpb.Envelope{Kind: &clusterpb.Envelope_Ended{Ended: &clusterpb.Ended{ID: t.job.ID, Answered: t.answerCompleted}}}, s.removeRequest)
+		end := &clusterpb.Ended{ID: t.job.ID, Answered: t.answerCompleted, CrashedAtStart: t.crashedAtStart}
+		s.notifyOwner(t, &clusterpb.Envelope{Kind: &clusterpb.Envelope_Ended{Ended: end}}, func(string) { s.endRequest(end) })
 		if s.tickets[t.job.ID] == t {
 			delete(s.tickets, t.job.ID)
 		}
@@ -230,7 +240,7 @@
 		job := decodeJob(s.Clock.Now(), k.Submit)
 		s.post(func() { s.submit(from, job) })
 	case *clusterpb.Envelope_Again:
-		f := EngineFailure{Target: k.Again.GetFailed(), InputsGone: k.Again.GetInputsGone(), Faulty: k.Again.GetFaulty()}
+		f := EngineFailure{Target: k.Again.GetFailed(), InputsGone: k.Again.GetInputsGone(), Faulty: k.Again.GetFaulty(), CrashedAtStart: k.Again.GetCrashedAtStart()}
 		s.post(func() {
 			if f.Faulty && s.EngineFailed != nil {
 				s.EngineFailed(f.Target)
@@ -244,13 +254,16 @@
 			if r := s.requests[k.Ended.GetID()]; r != nil && r.assigned != nil && k.Ended.GetAnswered() && s.EngineSucceeded != nil {
 				s.EngineSucceeded(r.assigned.Target)
 			}
-			s.removeRequest(k.Ended.GetID())
+			s.endRequest(k.Ended)
 		})
 	case *clusterpb.Envelope_Progress:
 		p := dispatch.Progress{Job: k.Progress.GetID(), Completed: decodeCompleted(s.Clock.Now(), k.Progress.GetDone()), Released: decodeReleased(k.Progress.GetReleased())}
 		s.post(func() { s.handleProgress(from, p) })
 	case *clusterpb.Envelope_Holdings:
-		s.post(func() { s.leaderState.apply(s.Clock.Now(), from, k.Holdings) })
+		s.post(func() {
+			s.leaderState.apply(s.Clock.Now(), from, k.Holdings)
+			s.inheritSuspects(k.Holdings.GetSuspects())
+		})
 	case *clusterpb.Envelope_Moved:
 		m := dispatch.HandedOver{Job: k.Moved.GetID(), Running: decodeRunning(k.Moved.GetRunning())}
 		s.post(func() { s.handleReturnedRequest(from, m) })
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -54,6 +54,9 @@
 	// NeedsInputs makes an engine reject requests without inputs, the handles in the X-Inputs
 	// header.
 	NeedsInputs bool
+	// FatalPart is the ID of a part of prompts; an engine crashes when it begins to answer a request
+	// with it. It closes all connections, and accepts none for crashTime. Empty means no part.
+	FatalPart string
 }
 
 // Fault holds the numbers of next requests to which each fault is applied. CutEvent is for engines,
@@ -73,6 +76,9 @@
 	Hang int
 }
 
+// crashTime is how long an engine is down after a request with its Profile.FatalPart.
+const crashTime = time.Second
+
 // Execution is the journal entry of one request. Calls to stage targets have none.
 type Execution struct {
 	// AttemptID is the X-Attempt-Id header.
@@ -88,6 +94,8 @@
 	Key string
 	// Deadline is the X-Deadline-Ms header in milliseconds; 0 if it isn't a number.
 	Deadline int
+	// Parts is the X-Prompt-Prefix header.
+	Parts string
 	// At is the time at which the request was admitted.
 	At time.Time
 }
@@ -110,8 +118,10 @@
 	storedHandles map[string]bool
 	resultCount   int
 	address       string
-	listener      net.Listener
 	http          *http.Server
+	// crashed is set while the server is down after a crash, stopped once Stop was called.
+	crashed, stopped bool
+	crashes          int
 }
 
 // resultByHandle holds the results of all stage targets in the process, so that each server can
@@ -142,19 +152,60 @@
 	if err != nil {
 		return "", err
 	}
-	s.listener = listener
 	s.address = listener.Addr().String()
 	s.storedHandles = map[string]bool{}
-	s.http = &http.Server{Handler: http.HandlerFunc(s.handle)}
-	go func() { _ = s.http.Serve(listener) }()
+	s.serve(listener)
 	return s.address, nil
 }
 
+// serve serves in the background.
+func (s *Server) serve(listener net.Listener) {
+	server := &http.Server{Handler: http.HandlerFunc(s.handle)}
+	s.http = server
+	go func() { _ = server.Serve(listener) }()
+}
+
 // Stop closes the server and its connections.
 func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
 	_ = s.http.Close()
 }
 
+// crash closes the server and its connections, and starts it again after crashTime.
+func (s *Server) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashed {
+		return
+	}
+	s.crashed = true
+	s.crashes++
+	_ = s.http.Close()
+	time.AfterFunc(crashTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.crashed = false
+		if s.stopped {
+			return
+		}
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			s.recordViolation("the server can't listen again: %v", err)
+			return
+		}
+		s.serve(listener)
+	})
+}
+
+// Crashes returns the number of crashes under Profile.FatalPart.
+func (s *Server) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes
+}
+
 // SetFault replaces the faults.
 func (s *Server) SetFault(f Fault) {
 	s.mu.Lock()
@@ -297,6 +348,7 @@
 		Account:   r.Header.Get("X-Tenant"),
 		Key:       r.Header.Get("Authorization"),
 		Deadline:  deadline,
+		Parts:     r.Header.Get("X-Prompt-Prefix"),
 		At:        time.Now(),
 	})
 }
@@ -407,6 +459,11 @@
 	w.Header().Set("X-Response-Signature", s.ID+"."+attempt)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
+	if s.Profile.FatalPart != "" && strings.Contains(r.Header.Get("X-Prompt-Prefix"), s.Profile.FatalPart+":") {
+		_ = http.NewResponseController(w).Flush()
+		s.crash()
+		return
+	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= s.Profile.Events; n++ {
 		select {
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -41,6 +41,8 @@
 	Infeasible Kind = "Infeasible"
 	// Overloaded is a request rejected for lack of capacity.
 	Overloaded Kind = "Overloaded"
+	// Quarantined is a request with a part of its prompt that crashes targets.
+	Quarantined Kind = "Quarantined"
 	// DataCentreOut is a request to a data centre that accepts no new work.
 	DataCentreOut Kind = "DataCentreOut"
 	// Stopping is a request to a daemon that is shutting down or not ready.
@@ -83,6 +85,7 @@
 	OverLimit:       {429, codes.ResourceExhausted, true},
 	Infeasible:      {503, codes.DeadlineExceeded, true},
 	Overloaded:      {503, codes.ResourceExhausted, true},
+	Quarantined:     {503, codes.FailedPrecondition, false},
 	DataCentreOut:   {503, codes.Unavailable, true},
 	Stopping:        {503, codes.Unavailable, true},
 	Conflict:        {409, codes.Aborted, true},
--- a/test/entry/load_test.go
+++ b/test/entry/load_test.go
@@ -27,9 +27,11 @@
 	account string
 	// deadline is the time from sending within which the client wants the answer.
 	deadline time.Duration
-	sentAt   time.Time
-	endedAt  time.Time
-	daemon   *daemon
+	// sharedParts are the parts of the prompt before the attempt's own one, as in X-Prompt-Prefix.
+	sharedParts string
+	sentAt      time.Time
+	endedAt     time.Time
+	daemon      *daemon
 	// status is the HTTP status, or 0 if there was no answer.
 	status int
 	answer string
@@ -47,6 +49,8 @@
 		key:      "k1",
 		account:  "bozi",
 		deadline: 3 * time.Second,
+
+		sharedParts: "5c1e07a2:60",
 	}
 	if n%3 == 0 {
 		a.key, a.account = "k2", "huvo"
@@ -71,12 +75,12 @@
 	}
 	if a.route == "resumable" || a.route == "once" {
 		// 2 pieces of the stage billing and 3 of portal, for a prompt of 100 tokens and an answer
-		// of 40. The prompt starts with a part of 60 tokens that all attempts share.
+		// of 40.
 		r.Header.Set("X-Pieces", "2,3")
 		r.Header.Set("X-Piece-Key", "key-"+a.id)
 		r.Header.Set("X-Model", "m")
 		r.Header.Set("X-Token-Usage", "100,40")
-		r.Header.Set("X-Prompt-Prefix", "5c1e07a2:60,"+a.id+":40")
+		r.Header.Set("X-Prompt-Prefix", a.sharedParts+","+a.id+":40")
 	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
