fix(exchange,forward): end answers whose bytes have no end

Cause: three loops had no bound but the request's deadline. A stream in which no event ends was buffered whole, and searched anew from its start with each 4 KB; informational answers and the trailer of a chunked body were read on and on. A longer error answer than the buffer was cut and forwarded as whole.

Endless header fields, bodies of answers to other requests and plain bodies were bounded before and are tested now.

An event has at most 1 MB, an answer at most 8 informational ones and 32 lines of trailer. The relay of streams moves to a file of its own.

--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -71,7 +71,7 @@
 	if err != io.EOF {
 		return n, err
 	}
-	for {
+	for range maxTrailerLines {
 		line, err := c.reader.ReadSlice('\n')
 		if err != nil {
 			return n, io.ErrUnexpectedEOF
@@ -81,4 +81,5 @@
 			return n, io.EOF
 		}
 	}
+	return n, io.ErrUnexpectedEOF
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -53,6 +53,10 @@
 	maxExtraAnswers = 4
 	// maxExtraAnswerBytes bounds the body of such an answer.
 	maxExtraAnswerBytes = 1 << 20
+	// maxInformational bounds the informational answers before the expected one.
+	maxInformational = 8
+	// maxTrailerLines bounds the trailer of a chunked body.
+	maxTrailerLines = 32
 	// maxHeadBytes is the size of the read buffer, which bounds the head of an answer.
 	maxHeadBytes = 8 << 10
 	// asyncBodyBytes is the body size above which the body is written concurrently with the
@@ -222,7 +226,10 @@
 func (c *Conn) receive(r Request) (*Answer, error) {
 	answer := &Answer{}
 	answer.Header.SetNoDefaultContentType(true)
-	for {
+	for informational := 0; ; informational++ {
+		if informational > maxInformational {
+			return nil, problem.New(problem.TargetFailed, "more than %d informational answers", maxInformational)
+		}
 		if err := answer.Header.Read(c.reader); err != nil {
 			return nil, err
 		}
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -239,6 +238,9 @@
 	q.mayHaveRun = true
 	q.f.Inventory.RecordFailure(target.ID)
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
+	if err == nil && len(body) == maxBufferedBytes {
+		err = problem.New(problem.TargetFailed, "target %s answered with status %d and at least %d bytes", target.ID, answer.Head.Status, maxBufferedBytes)
+	}
 	if err != nil {
 		q.f.Pool.Discard(conn)
 		return engineOutcome{err: err, inputsGone: true, faulty: true}
@@ -270,96 +272,3 @@
 	q.recordEnd(event.StreamBroken, outcomeBroken, "LastEvent", s.lastEventID, "Reason", err.Error())
 	q.w.Abort()
 }
-
-// stream relays the events of one answer to the client; several engines may contribute to
-// it, one after the other.
-type stream struct {
-	request     *requestState
-	lastEventID string
-	// events is the number of writes of events to the client.
-	events int
-	// pending holds the bytes of an incomplete event.
-	pending []byte
-}
-
-var errClientWrite = errors.New("writing to the client failed")
-
-func (s *stream) started() bool { return s.request.w.Started() }
-
-// relay forwards the events of an answer as they arrive; an incomplete event at the end of
-// a broken answer is dropped. The length of a resumable answer is left open, since another
-// engine may continue it. The error is errClientWrite, or that of reading the answer.
-func (s *stream) relay(ctx context.Context, answer *exchange.Answer) error {
-	s.pending = s.pending[:0]
-	if !s.started() {
-		length := int64(answer.Length)
-		if answer.Length < 0 || s.request.route.Resumable {
-			length = -1
-		}
-		if err := s.request.w.Start(answer.Head.Status, platform.AppendAnswerFields(nil, &answer.Header), length); err != nil {
-			return errClientWrite
-		}
-	}
-	buffer := make([]byte, 4096)
-	for {
-		n, err := answer.Body.Read(buffer)
-		if n > 0 {
-			if s.relayEvents(buffer[:n]) != nil {
-				return errClientWrite
-			}
-		}
-		if err == io.EOF {
-			return s.finish()
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// eventSeparator ends each event of a stream.
-var eventSeparator = []byte("\n\n")
-
-// relayEvents forwards the events that p completes and stores the rest.
-func (s *stream) relayEvents(p []byte) error {
-	s.pending = append(s.pending, p...)
-	end := bytes.LastIndex(s.pending, eventSeparator)
-	if end < 0 {
-		return nil
-	}
-	end += len(eventSeparator)
-	whole := s.pending[:end]
-	s.events++
-	if _, err := s.request.w.Write(whole); err != nil {
-		return err
-	}
-	if id := findLastEventID(whole); id != "" {
-		s.lastEventID = id
-	}
-	s.pending = append(s.pending[:0], s.pending[end:]...)
-	return nil
-}
-
-// finish forwards trailing bytes that are not an event, and ends the body.
-func (s *stream) finish() error {
-	if len(s.pending) > 0 {
-		if _, err := s.request.w.Write(s.pending); err != nil {
-			return errClientWrite
-		}
-	}
-	if s.request.w.End() != nil {
-		return errClientWrite
-	}
-	return nil
-}
-
-// findLastEventID returns the ID of the last event that has one, or "".
-func findLastEventID(events []byte) string {
-	lines := bytes.Split(events, []byte("\n"))
-	for i := len(lines) - 1; i >= 0; i-- {
-		if id, ok := bytes.CutPrefix(lines[i], []byte("id:")); ok {
-			return string(bytes.TrimSpace(id))
-		}
-	}
-	return ""
-}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,115 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+
+	"github.com/sequoiapick/sequoiapick/internal/exchange"
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+	"github.com/sequoiapick/sequoiapick/platform"
+)
+
+// stream relays the events of one answer to the client; several engines may contribute to
+// it, one after the other.
+type stream struct {
+	request     *requestState
+	lastEventID string
+	// events is the number of writes of events to the client.
+	events int
+	// pending holds the bytes of an incomplete event.
+	pending []byte
+}
+
+var errClientWrite = errors.New("writing to the client failed")
+
+func (s *stream) started() bool { return s.request.w.Started() }
+
+// relay forwards the events of an answer as they arrive; an incomplete event at the end of
+// a broken answer is dropped. The length of a resumable answer is left open, since another
+// engine may continue it. The error is errClientWrite, or that of reading the answer.
+func (s *stream) relay(ctx context.Context, answer *exchange.Answer) error {
+	s.pending = s.pending[:0]
+	if !s.started() {
+		length := int64(answer.Length)
+		if answer.Length < 0 || s.request.route.Resumable {
+			length = -1
+		}
+		if err := s.request.w.Start(answer.Head.Status, platform.AppendAnswerFields(nil, &answer.Header), length); err != nil {
+			return errClientWrite
+		}
+	}
+	buffer := make([]byte, 4096)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			if relayErr := s.relayEvents(buffer[:n]); relayErr != nil {
+				return relayErr
+			}
+		}
+		if err == io.EOF {
+			return s.finish()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// eventSeparator ends each event of a stream.
+var eventSeparator = []byte("\n\n")
+
+// maxEventBytes is the largest event that is buffered. A faulty engine may send bytes without end in
+// which no event ends.
+const maxEventBytes = 1 << 20
+
+// relayEvents forwards the events that p completes and stores the rest. The error is
+// errClientWrite, or of kind TargetFailed if an event exceeds maxEventBytes.
+func (s *stream) relayEvents(p []byte) error {
+	// The separator may begin with the last byte before p.
+	searched := max(len(s.pending)-len(eventSeparator)+1, 0)
+	s.pending = append(s.pending, p...)
+	end := bytes.LastIndex(s.pending[searched:], eventSeparator)
+	if end < 0 {
+		if len(s.pending) > maxEventBytes {
+			return problem.New(problem.TargetFailed, "an event has more than %d bytes", maxEventBytes)
+		}
+		return nil
+	}
+	end += searched + len(eventSeparator)
+	whole := s.pending[:end]
+	s.events++
+	if _, err := s.request.w.Write(whole); err != nil {
+		return errClientWrite
+	}
+	if id := findLastEventID(whole); id != "" {
+		s.lastEventID = id
+	}
+	s.pending = append(s.pending[:0], s.pending[end:]...)
+	return nil
+}
+
+// finish forwards trailing bytes that are not an event, and ends the body.
+func (s *stream) finish() error {
+	if len(s.pending) > 0 {
+		if _, err := s.request.w.Write(s.pending); err != nil {
+			return errClientWrite
+		}
+	}
+	if s.request.w.End() != nil {
+		return errClientWrite
+	}
+	return nil
+}
+
+// findLastEventID returns the ID of the last event that has one, or "".
+func findLastEventID(events []byte) string {
+	lines := bytes.Split(events, []byte("\n"))
+	for i := len(lines) - 1; i >= 0; i-- {
+		if id, ok := bytes.CutPrefix(lines[i], []byte("id:")); ok {
+			return string(bytes.TrimSpace(id))
+		}
+	}
+	return ""
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -13,6 +13,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -74,6 +75,13 @@
 	Shed int
 	// Hang runs the request and never answers.
 	Hang int
+	// EndlessHead and EndlessBody send bytes that are no answer until the connection is closed: a
+	// header field without end, or a body without a length and without a blank line.
+	EndlessHead int
+	EndlessBody int
+	// CutPlain is for engines: it sends the first event and a part of the second with neither a length
+	// nor chunks, then closes the connection.
+	CutPlain int
 }
 
 // crashTime is how long an engine is down after a request with its Profile.FatalPart.
@@ -311,6 +319,7 @@
 	s.running++
 	s.recordExecution(r, body)
 	lose, cut, truncate, extra, hang := takeFault(&s.fault.Lose), takeFault(&s.fault.CutEvent), takeFault(&s.fault.Truncate), takeFault(&s.fault.Extra), takeFault(&s.fault.Hang)
+	endlessHead, endlessBody, cutPlain := takeFault(&s.fault.EndlessHead), takeFault(&s.fault.EndlessBody), takeFault(&s.fault.CutPlain)
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -327,6 +336,12 @@
 		<-r.Context().Done()
 	case lose:
 		closeConnection(w)
+	case endlessHead:
+		sendEndless(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Filler: ")
+	case endlessBody:
+		sendEndless(w, s.plainHead(attempt))
+	case cutPlain:
+		sendAndClose(w, s.plainHead(attempt)+Event(attempt, 1)+Event(attempt, 2)[:5])
 	case s.Profile.Kind == Engine:
 		s.writeStream(w, r, attempt, cut)
 	default:
@@ -359,6 +374,38 @@
 	w.WriteHeader(status)
 }
 
+// plainHead returns the head of an answer that ends with its connection.
+func (s *Server) plainHead(attempt string) string {
+	return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Signature: " + s.ID + "." + attempt + "\r\nConnection: close\r\n\r\n"
+}
+
+// sendEndless sends the start, then the letter x until the connection is closed.
+func sendEndless(w http.ResponseWriter, start string) {
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	conn, _, err := h.Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	filler := bytes.Repeat([]byte("x"), 64<<10)
+	for _, err = io.WriteString(conn, start); err == nil; {
+		_, err = conn.Write(filler)
+	}
+}
+
+// sendAndClose sends bytes and closes the connection.
+func sendAndClose(w http.ResponseWriter, text string) {
+	if h, ok := w.(http.Hijacker); ok {
+		if conn, _, err := h.Hijack(); err == nil {
+			_, _ = io.WriteString(conn, text)
+			_ = conn.Close()
+		}
+	}
+}
+
 // closeConnection closes the connection of a request without completing the answer.
 func closeConnection(w http.ResponseWriter) {
 	if h, ok := w.(http.Hijacker); ok {
--- a/test/entry/load_test.go
+++ b/test/entry/load_test.go
@@ -91,10 +91,13 @@
 	}
 	defer answer.Body.Close()
 	a.status = answer.StatusCode
-	body, err := io.ReadAll(answer.Body)
-	a.answer, a.complete, a.err = string(body), err == nil, err
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxClientBytes))
+	a.answer, a.complete, a.err = string(body), err == nil && len(body) < maxClientBytes, err
 }
 
+// maxClientBytes is the size above which a client gives an answer up.
+const maxClientBytes = 8 << 20
+
 // loadGenerator sends attempts on all routes at a constant rate until end is called.
 type loadGenerator struct {
 	fleet    *fleet
