fix(forward): take a stream that ends inside an event as broken off

Callers saw: the start of an event as the end of a complete stream, when an engine that answers with neither a length nor chunks crashes; the request wasn't resumed (MIXED, ORDER).

Cause: the end of the connection is the end of such an answer, and bytes behind the last event were forwarded as a trailer.

Evidence: test/entry 'ORDER: takes a stream that ends with its connection inside an event as broken off' fails without the change: the client got one event and a part of the second as complete.

A stream that ends inside an event, or with its connection before any event, is now resumed or aborted like one that is cut off; answers that are no streams are forwarded as before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -131,6 +131,9 @@
 	Body io.Reader
 	// Length is the length of the body in bytes, negative if it is unknown.
 	Length int
+	// EndsWithConnection is set if the body has neither a length nor chunks. Its end doesn't show
+	// whether the answer is complete.
+	EndsWithConnection bool
 }
 
 // Conn is one connection to a target; it carries one exchange at a time.
@@ -262,6 +265,7 @@
 		answer.Body = &body{conn: c, reader: &chunkedReader{reader: c.reader, chunks: httputil.NewChunkedReader(c.reader)}, reusable: reusable}
 	default:
 		answer.Body = &body{conn: c, reader: c.reader}
+		answer.EndsWithConnection = true
 	}
 	if r.StallTimeout > 0 {
 		answer.Body = &stallReader{conn: c, reader: answer.Body, timeout: r.StallTimeout}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/sequoiapick/sequoiapick/internal/exchange"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
+	"github.com/sequoiapick/sequoiapick/pkg/route"
 	"github.com/sequoiapick/sequoiapick/platform"
 )
 
@@ -40,6 +41,7 @@
 			return errClientWrite
 		}
 	}
+	eventsBefore := s.events
 	buffer := make([]byte, 4096)
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -48,6 +50,9 @@
 				return relayErr
 			}
 		}
+		if err == io.EOF && s.brokenOff(answer, s.events == eventsBefore) {
+			return io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			return s.finish()
 		}
@@ -57,6 +62,15 @@
 	}
 }
 
+// brokenOff reports whether the end of an answer shows that it isn't complete: it ends inside an
+// event, or with its connection before any event.
+func (s *stream) brokenOff(answer *exchange.Answer, empty bool) bool {
+	if s.request.route.Kind != route.Streaming {
+		return false
+	}
+	return len(bytes.TrimSpace(s.pending)) > 0 || empty && answer.EndsWithConnection
+}
+
 // eventSeparator ends each event of a stream.
 var eventSeparator = []byte("\n\n")
 
@@ -90,7 +104,8 @@
 	return nil
 }
 
-// finish forwards trailing bytes that are not an event, and ends the body.
+// finish forwards trailing bytes that are not an event, such as white space or an answer that isn't a
+// stream, and ends the body.
 func (s *stream) finish() error {
 	if len(s.pending) > 0 {
 		if _, err := s.request.w.Write(s.pending); err != nil {
