refactor(forward): name the errors that end an answer with its connection

Evidence against a part of a prompt was any failure before the first event but a timeout; a malformed chunk or an event that is too large is none.

--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"io"
-	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/dispatch"
@@ -226,7 +226,12 @@
 	}
 	f.Inventory.RecordFailure(target.ID)
 	q.recordFailure(target.ID, outcomeBroken, "Reason", err.Error(), "LastEvent", s.lastEventID)
-	return engineOutcome{err: err, inputsGone: true, faulty: true, crashedAtStart: s.events == eventsBefore && !errors.Is(err, os.ErrDeadlineExceeded)}
+	return engineOutcome{err: err, inputsGone: true, faulty: true, crashedAtStart: s.events == eventsBefore && isCut(err)}
+}
+
+// isCut reports whether an error of reading an answer is the end of its connection.
+func isCut(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // statusConflict is the status of an engine whose inputs no longer exist.
