fix(ingress): close connections whose answer began before a stop

Callers saw: a connection that ends without an answer, 3 s after a request was sent to a daemon that had got SIGTERM 4.6 s before (LOST).

Cause: each head that is sent after Drain announces the close, and CloseIdle closes what is idle at that moment. A stream whose head was sent before the one and that ended after the other left its connection open, which took further requests until the grace was over.

That the connection had such a stream is inferred from the times, not traced; the new test fails without the change: the next request on the connection is taken.

Once idle connections are closed, each other one is closed after its answer.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -86,7 +86,9 @@
 	// bytes; 0 means no bound.
 	MaxTotalBodyBytes int64
 
-	draining   atomic.Bool
+	draining atomic.Bool
+	// closing is set once idle connections are closed.
+	closing    atomic.Bool
 	bodyBytes  atomic.Int64
 	openCount  atomic.Int64
 	mu         sync.Mutex
@@ -152,8 +154,10 @@
 // Drain closes every connection after its next answer.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the connections on which no request is being read or handled.
+// CloseIdle closes the connections on which no request is being read or handled, and from then on
+// each other one after its answer.
 func (s *Server) CloseIdle() {
+	s.closing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -262,6 +266,9 @@
 	}
 	_ = c.net.SetReadDeadline(c.server.Now().Add(c.server.limits().IdleTimeout + idleMargin))
 	c.setIdle(true)
+	if c.server.closing.Load() {
+		return false
+	}
 	n, err := c.net.Read(c.firstByte.saved[:])
 	c.setIdle(false)
 	if n == 0 || err != nil {
@@ -348,7 +355,7 @@
 	if ctx.Err() != nil || w.aborted || !w.ended {
 		return false
 	}
-	if w.closeAfter {
+	if w.closeAfter || c.server.closing.Load() {
 		c.linger()
 		return false
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -277,6 +277,36 @@
 	s.Wait()
 }
 
+// TestConnectionClosesAfterAnswerThatBeganBeforeStop ends an answer after CloseIdle whose head was sent
+// before Drain: it can't announce the close any more, and no further request may be taken.
+func TestConnectionClosesAfterAnswerThatBeganBeforeStop(t *testing.T) {
+	began, finish := make(chan struct{}, 2), make(chan struct{})
+	h := &handler{handle: func(_ context.Context, _ *ingress.Request, w *ingress.Responder) {
+		_ = w.Start(200, nil, -1)
+		began <- struct{}{}
+		<-finish
+		_, _ = w.Write([]byte("whole"))
+		_ = w.End()
+	}}
+	s, address := start(t, h)
+	c := dial(t, address)
+	c.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-began
+	<-h.seen
+	s.Drain()
+	s.CloseIdle()
+	close(finish)
+	if _, body := c.answer(); body != "whole" {
+		t.Errorf("the answer is %q, want it whole", body)
+	}
+	_, _ = io.WriteString(c.conn, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n") // fails if the close has arrived
+	select {
+	case request := <-h.seen:
+		t.Errorf("the request %q was taken after the stop", request)
+	case <-time.After(limits.IdleTimeout):
+	}
+}
+
 func TestAbortedAnswerIsTruncated(t *testing.T) {
 	h := &handler{handle: func(_ context.Context, _ *ingress.Request, w *ingress.Responder) {
 		_ = w.Start(200, nil, ingress.UnknownLength)
