fix(fleet): ignore warm reports that were requested before a target turned cold

Cause: a report that was requested, or an attempt that was sent, before the target turned cold made it warm again when its answer arrived after the cold one; one daemon logged TargetCold three times within 0.15 s for one incarnation.

A warm report now counts only if it was requested after the newest evidence that the incarnation is cold.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -115,7 +115,7 @@
 			f.Adopt("000000000000", membershipView(82))
 			d := document(targets)
 			for name := range d.Targets {
-				f.Observe(name, target.Report{Incarnation: "a"})
+				f.Observe(name, target.Report{Incarnation: "a"}, time.Now())
 			}
 			out := func(string) bool { return false }
 			b.ReportAllocs()
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -356,7 +356,7 @@
 // recordReport records the newest report of the connection, broadcasts what it changed and
 // returns the connection to the pool.
 func (d *Daemon) recordReport(name string, conn *link.Conn) {
-	change := d.fleet.Observe(name, conn.Report)
+	change := d.fleet.Observe(name, conn.Report, conn.ReportRequestedAt)
 	if change.BecameCold {
 		d.log.Emit(event.TargetCold, "Target", name, "Incarnation", change.Incarnation)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -87,6 +87,8 @@
 	report target.Report
 	// warmAt is the time of the newest report that the target is warm; zero means cold.
 	warmAt time.Time
+	// coldAt is the time of the newest evidence that the present incarnation is cold.
+	coldAt time.Time
 	// leaving is what the target or a notice of another daemon stated last.
 	leaving bool
 	// hostLeaving is what the platform's host list stated last.
@@ -287,8 +289,9 @@
 	f.heldSlots = kept
 }
 
-// Observe records a report received directly from the target and returns what it changed.
-func (f *Fleet) Observe(name string, report target.Report) StateChange {
+// Observe records a report received directly from the target and returns what it changed. The
+// report was requested at requestedAt, so that the target made it later.
+func (f *Fleet) Observe(name string, report target.Report, requestedAt time.Time) StateChange {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.state(name)
@@ -297,11 +300,15 @@
 	wasLeaving := s.leaving
 	if report.Incarnation != s.report.Incarnation {
 		f.durations.ForgetTarget(name)
+		s.coldAt = time.Time{}
 	}
 	s.report = report
 	s.leaving = report.Leaving
-	s.warmAt = time.Time{}
-	if !report.Cold && report.Incarnation != "" {
+	switch {
+	case report.Cold || report.Incarnation == "":
+		s.warmAt, s.coldAt = time.Time{}, now
+	case requestedAt.Before(s.coldAt): // may be of the time before the target turned cold
+	default:
 		s.warmAt = now
 	}
 	return StateChange{
@@ -320,7 +327,7 @@
 	now := f.Clock.Now()
 	wasWarm := s.warm(now)
 	s.suspectSince = now
-	s.warmAt = time.Time{}
+	s.warmAt, s.coldAt = time.Time{}, now
 	return StateChange{BecameCold: wasWarm, Incarnation: s.report.Incarnation}
 }
 
@@ -332,7 +339,7 @@
 	s := f.state(name)
 	before := *s
 	if cold {
-		s.warmAt = time.Time{}
+		s.warmAt, s.coldAt = time.Time{}, f.Clock.Now()
 	}
 	if leaving && (incarnation == "" || s.report.Incarnation == "" || s.report.Incarnation == incarnation) {
 		s.leaving = true
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -124,8 +124,10 @@
 
 // Conn is a connection that is bound to one incarnation of a target.
 type Conn struct {
-	// Report is the newest report received over the connection.
-	Report target.Report
+	// Report is the newest report received over the connection. ReportRequestedAt is when the
+	// exchange that brought it began; the target has made the report after that.
+	Report            target.Report
+	ReportRequestedAt time.Time
 
 	contract  target.Target
 	netConn   net.Conn
@@ -247,10 +249,12 @@
 
 // fetchReport requests the target's report over the connection and stores it in Report.
 func (c *Conn) fetchReport(ctx context.Context) error {
+	requestedAt := time.Now()
 	body, err := c.exchange(ctx, fasthttp.MethodGet, ReportPath, nil)
 	if err != nil {
 		return err
 	}
+	c.ReportRequestedAt = requestedAt
 	return json.Unmarshal(body, &c.Report)
 }
 
@@ -320,6 +324,7 @@
 		return Result{}, notSent("send", ctx.Err())
 	}
 	c.incomplete = true
+	sentAt := time.Now()
 	stop := c.bindContext(ctx)
 	defer stop()
 	if err := c.write(c.newRequest(ctx, attempt)); err != nil {
@@ -329,7 +334,7 @@
 	if err := response.ReadLimitBody(c.reader, frame.MaxLineBytes); err != nil {
 		return Result{}, sendFailed("answer", err)
 	}
-	if err := c.checkAnswer(response, attempt); err != nil {
+	if err := c.checkAnswer(response, attempt, sentAt); err != nil {
 		return Result{}, err
 	}
 	result, err := c.receiveAnswer(response, attempt, sink)
@@ -358,9 +363,10 @@
 }
 
 // checkAnswer verifies the status and the attempt ID of the answer before its body is used,
-// and stores the report that it carries.
-func (c *Conn) checkAnswer(response *fasthttp.Response, attempt Attempt) error {
+// and stores the report that it carries. The attempt was sent at sentAt.
+func (c *Conn) checkAnswer(response *fasthttp.Response, attempt Attempt, sentAt time.Time) error {
 	if report := response.Header.Peek(ReportHeader); len(report) > 0 {
+		c.ReportRequestedAt = sentAt
 		_ = json.Unmarshal(report, &c.Report)
 	}
 	if status := response.StatusCode(); status != fasthttp.StatusOK {
--- a/internal/run/send.go
+++ b/internal/run/send.go
@@ -89,7 +89,7 @@
 		return link.Result{}, err
 	}
 	result, err := conn.Send(ctx, attempt, sink)
-	r.observe(t.Name, conn.Report)
+	r.observe(t.Name, conn)
 	if err != nil {
 		r.Links.Close(conn)
 		r.releaseFailed(ctx, t, conn, started, cold, err)
@@ -115,7 +115,7 @@
 		r.markSuspect(t)
 		return nil, err
 	}
-	r.observe(t.Name, conn.Report)
+	r.observe(t.Name, conn)
 	if cold || !conn.Report.Cold && !conn.Report.Leaving {
 		return conn, nil
 	}
@@ -157,9 +157,10 @@
 	r.reportStateChange(t.Name, r.Fleet.MarkSuspect(t.Name))
 }
 
-// observe updates the state of the target from its report and reports what has changed.
-func (r *Runner) observe(name string, report target.Report) {
-	r.reportStateChange(name, r.Fleet.Observe(name, report))
+// observe updates the state of the target from the report of a connection and reports what has
+// changed.
+func (r *Runner) observe(name string, conn *link.Conn) {
+	r.reportStateChange(name, r.Fleet.Observe(name, conn.Report, conn.ReportRequestedAt))
 }
 
 // reportStateChange logs a change of a target's state and sends it to the other daemons.
@@ -213,7 +214,7 @@
 // the received texts have another length than the guardian states.
 func (r *Runner) forwardedResult(t target.Target, attempt link.Attempt, end *peerpb.AttemptEnd, received int64, started time.Time) (link.Result, error) {
 	if report := end.GetReport(); report != nil && report.Incarnation != "" {
-		r.Fleet.Observe(t.Name, ReportFromProto(report))
+		r.Fleet.Observe(t.Name, ReportFromProto(report), started)
 	}
 	if end.Failure != "" {
 		if end.NotSent {
