--- a/internal/cluster/mesh_test.go
+++ b/internal/cluster/mesh_test.go
@@ -283,7 +283,8 @@
 	waitFor(t, 5*time.Second, "the hub knows the leaf", func() bool { return hub.mesh.Size() == len(members) })
 	hub.mesh.SetMembers(withoutLeaf)
 	hub.mesh.SetMembers(members)
-	waitFor(t, 3*time.Second, "the leaf follows the leader", func() bool {
+	// Later the leaf opens its link anew, since it seems silent.
+	waitFor(t, silentLinkTimeout, "the leaf follows the leader", func() bool {
 		return hub.mesh.Leader() != "" && leaf.mesh.Leader() == hub.mesh.Leader() && leaf.mesh.Incarnation(hub.mesh.Self.Host) != ""
 	})
 }
