--- a/internal/cluster/link_test.go
+++ b/internal/cluster/link_test.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -102,13 +101,7 @@
 		}
 		meshes = append(meshes, m)
 		members = append(members, m.Self)
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan error, 1)
-		go func() { ended <- m.Serve(ctx, listener) }()
-		t.Cleanup(func() {
-			cancel()
-			<-ended
-		})
+		serveMesh(t, m, listener)
 	}
 	linked := func() bool {
 		return meshes[0].Incarnation("h1") != "" && meshes[1].Incarnation("h0") != ""
--- a/internal/cluster/mesh_test.go
+++ b/internal/cluster/mesh_test.go
@@ -88,13 +88,7 @@
 		daemons = append(daemons, d)
 	}
 	for _, d := range daemons {
-		ctx, cancel := context.WithCancel(t.Context())
-		d.cancel = cancel
-		go func() { d.ended <- d.mesh.Serve(ctx, d.listener) }()
-		t.Cleanup(func() {
-			cancel()
-			<-d.ended
-		})
+		d.serve(t)
 	}
 	for _, d := range daemons {
 		d := d
@@ -107,6 +101,28 @@
 	return daemons
 }
 
+// serve runs the mesh until the end of the test or until cancel is called.
+func (d *testDaemon) serve(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	d.cancel = cancel
+	go func() { d.ended <- d.mesh.Serve(ctx, d.listener) }()
+	t.Cleanup(func() {
+		cancel()
+		<-d.ended
+	})
+}
+
+// serveMesh runs a mesh until the end of the test.
+func serveMesh(t *testing.T, m *Mesh, listener net.Listener) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- m.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+}
+
 func commonLeader(daemons []*testDaemon) string {
 	leader := daemons[0].mesh.Leader()
 	for _, d := range daemons[1:] {
@@ -250,13 +266,7 @@
 		members = append(members, Member{Host: fmt.Sprintf("down%d", i), DataCentre: "a", Address: "127.0.0.1:1", Incarnation: "1", Weight: 0.1})
 	}
 	for _, d := range daemons {
-		ctx, cancel := context.WithCancel(t.Context())
-		d.cancel = cancel
-		go func() { d.ended <- d.mesh.Serve(ctx, d.listener) }()
-		t.Cleanup(func() {
-			cancel()
-			<-d.ended
-		})
+		d.serve(t)
 	}
 	return daemons, members
 }
@@ -380,13 +390,7 @@
 		if i == 1 {
 			listener = &delayedListener{Listener: listener, delay: delay}
 		}
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan error, 1)
-		go func() { ended <- m.Serve(ctx, listener) }()
-		t.Cleanup(func() {
-			cancel()
-			<-ended
-		})
+		serveMesh(t, m, listener)
 	}
 	waitFor(t, 5*time.Second, "the daemons are linked", func() bool {
 		for _, m := range meshes {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -13,7 +13,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -84,9 +83,6 @@
 	CutPlain int
 }
 
-// crashTime is how long an engine is down after a request with its Profile.FatalPart.
-const crashTime = time.Second
-
 // Execution is the journal entry of one request. Calls to stage targets have none.
 type Execution struct {
 	// AttemptID is the X-Attempt-Id header.
@@ -129,7 +125,6 @@
 	http          *http.Server
 	// crashed is set while the server is down after a crash, stopped once Stop was called.
 	crashed, stopped bool
-	crashes          int
 }
 
 // resultByHandle holds the results of all stage targets in the process, so that each server can
@@ -181,39 +176,6 @@
 	_ = s.http.Close()
 }
 
-// crash closes the server and its connections, and starts it again after crashTime.
-func (s *Server) crash() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.crashed {
-		return
-	}
-	s.crashed = true
-	s.crashes++
-	_ = s.http.Close()
-	time.AfterFunc(crashTime, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.crashed = false
-		if s.stopped {
-			return
-		}
-		listener, err := net.Listen("tcp", s.address)
-		if err != nil {
-			s.recordViolation("the server can't listen again: %v", err)
-			return
-		}
-		s.serve(listener)
-	})
-}
-
-// Crashes returns the number of crashes under Profile.FatalPart.
-func (s *Server) Crashes() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.crashes
-}
-
 // SetFault replaces the faults.
 func (s *Server) SetFault(f Fault) {
 	s.mu.Lock()
@@ -374,47 +336,6 @@
 	w.WriteHeader(status)
 }
 
-// plainHead returns the head of an answer that ends with its connection.
-func (s *Server) plainHead(attempt string) string {
-	return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Signature: " + s.ID + "." + attempt + "\r\nConnection: close\r\n\r\n"
-}
-
-// sendEndless sends the start, then the letter x until the connection is closed.
-func sendEndless(w http.ResponseWriter, start string) {
-	h, ok := w.(http.Hijacker)
-	if !ok {
-		return
-	}
-	conn, _, err := h.Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	filler := bytes.Repeat([]byte("x"), 64<<10)
-	for _, err = io.WriteString(conn, start); err == nil; {
-		_, err = conn.Write(filler)
-	}
-}
-
-// sendAndClose sends bytes and closes the connection.
-func sendAndClose(w http.ResponseWriter, text string) {
-	if h, ok := w.(http.Hijacker); ok {
-		if conn, _, err := h.Hijack(); err == nil {
-			_, _ = io.WriteString(conn, text)
-			_ = conn.Close()
-		}
-	}
-}
-
-// closeConnection closes the connection of a request without completing the answer.
-func closeConnection(w http.ResponseWriter) {
-	if h, ok := w.(http.Hijacker); ok {
-		if conn, _, err := h.Hijack(); err == nil {
-			_ = conn.Close()
-		}
-	}
-}
-
 // checkInputs reports whether a request has inputs and all of them exist. If not, it rejects the
 // request. It records a violation for inputs that belong to another request. The caller holds the
 // lock.
