--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -22,7 +22,7 @@
 }
 
 // applyRows handles rows of the members table, each of which holds one daemon.
-func (m *memberTable) applyRows(changes []platform.Row, _ origin) {
+func (m *memberTable) applyRows(changes []platform.Row, _ updateSource) {
 	m.mu.Lock()
 	if m.known == nil {
 		m.known = map[string]cluster.Member{}
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -63,7 +63,7 @@
 }
 
 // applyRows handles rows of the table, each of which holds one quarantined part.
-func (q *quarantineTable) applyRows(changes []platform.Row, _ origin) {
+func (q *quarantineTable) applyRows(changes []platform.Row, _ updateSource) {
 	for _, row := range changes {
 		if row.Deleted {
 			for _, p := range q.tracker.Held() {
--- a/internal/entry/table_reader.go
+++ b/internal/entry/table_reader.go
@@ -41,8 +41,8 @@
 	return b.delay/2 + rand.N(b.delay/2+1)
 }
 
-// origin describes where changed rows come from.
-type origin struct {
+// updateSource describes where changed rows come from.
+type updateSource struct {
 	// sender is the daemon that relayed the rows, empty if this daemon has read them itself.
 	sender string
 	// readAt is when the store was read, or earlier; zero if it isn't known.
@@ -55,13 +55,13 @@
 	lapsed bool
 }
 
-// logFields returns the fields of the origin for log lines. AgeMillis is the longest time since the
+// logFields returns the fields of the source for log lines. AgeMillis is the longest time since the
 // store was read, of which the rows may have been on the link for OnLinkMillis; -1 means unknown.
-func (o origin) logFields(now time.Time) []any {
-	if o.sender == "" {
-		return []any{"Source", "Store", "AgeMillis", millisSince(o.readAt, now)}
+func (s updateSource) logFields(now time.Time) []any {
+	if s.sender == "" {
+		return []any{"Source", "Store", "AgeMillis", millisSince(s.readAt, now)}
 	}
-	return []any{"Source", o.sender, "AgeMillis", millisSince(o.readAt, now), "OnLinkMillis", millisSince(o.sentAfter, now)}
+	return []any{"Source", s.sender, "AgeMillis", millisSince(s.readAt, now), "OnLinkMillis", millisSince(s.sentAfter, now)}
 }
 
 // millisSince returns the time from t to now in milliseconds, or -1 if t is zero.
@@ -90,7 +90,7 @@
 	// store, after which rows may have lapsed.
 	lapseAfter time.Duration
 	// apply handles changed rows.
-	apply func(changes []platform.Row, o origin)
+	apply func(changes []platform.Row, source updateSource)
 
 	mu     sync.Mutex
 	mirror mirror.Mirror
@@ -197,7 +197,7 @@
 	r.fullReadRequired = false
 	r.mu.Unlock()
 	bases := r.baseRows(rows.Rows)
-	if relay, _ := r.applyUpdate(u, origin{readAt: u.ReadAt}); relay != nil {
+	if relay, _ := r.applyUpdate(u, updateSource{readAt: u.ReadAt}); relay != nil {
 		d.mesh.Broadcast(r.encodeUpdate(*relay, bases))
 	}
 	return nil
@@ -207,17 +207,17 @@
 // returns the update to relay to the other daemons, or nil if the copy was empty before or the
 // update isn't contiguous. The relayed update holds only changes; a daemon without a copy requests
 // the whole table when it receives one.
-func (r *tableReader) applyUpdate(u mirror.Update, o origin) (relay *mirror.Update, contiguous bool) {
+func (r *tableReader) applyUpdate(u mirror.Update, source updateSource) (relay *mirror.Update, contiguous bool) {
 	now := r.daemon.Clock.Now()
 	r.mu.Lock()
 	if r.mirror.Loaded() && u.ReadAt.Sub(now.Add(-r.mirror.Age(now))) > r.lapseAfter {
 		r.storeReturnedAt = now
 	}
-	o.lapsed = !r.storeReturnedAt.IsZero() && now.Sub(r.storeReturnedAt) < lapseWindow
+	source.lapsed = !r.storeReturnedAt.IsZero() && now.Sub(r.storeReturnedAt) < lapseWindow
 	from, loaded := r.mirror.Version(), r.mirror.Loaded()
 	changes, contiguous := r.mirror.Apply(u)
 	if contiguous && len(changes) > 0 {
-		r.apply(changes, o)
+		r.apply(changes, source)
 	}
 	if contiguous && loaded {
 		relay = &mirror.Update{FromVersion: from, ToVersion: r.mirror.Version(), Rows: changes, ReadAt: u.ReadAt}
@@ -253,7 +253,7 @@
 func (r *tableReader) handleUpdate(from string, sentAfter time.Time, m *clusterpb.Observed) {
 	u, contiguous := r.decodeUpdate(m, sentAfter)
 	if contiguous {
-		_, contiguous = r.applyUpdate(u, origin{sender: from, readAt: u.ReadAt, sentAfter: sentAfter})
+		_, contiguous = r.applyUpdate(u, updateSource{sender: from, readAt: u.ReadAt, sentAfter: sentAfter})
 	}
 	if !contiguous {
 		version, age := r.versionAndAge()
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -32,7 +32,7 @@
 
 // createTableReaders creates the readers of the store's tables.
 func (d *Daemon) createTableReaders() {
-	reader := func(table string, feedTimeout, leaderInterval, followerMaxAge time.Duration, apply func([]platform.Row, origin)) *tableReader {
+	reader := func(table string, feedTimeout, leaderInterval, followerMaxAge time.Duration, apply func([]platform.Row, updateSource)) *tableReader {
 		return &tableReader{
 			daemon:         d,
 			table:          table,
@@ -54,7 +54,7 @@
 
 // applyOperatorRows handles rows of the operators' table: configurations, and orders that take
 // a data centre out of service or put it back.
-func (d *Daemon) applyOperatorRows(changes []platform.Row, o origin) {
+func (d *Daemon) applyOperatorRows(changes []platform.Row, source updateSource) {
 	for _, row := range changes {
 		decoded, err := platform.DecodeOperatorRow(row)
 		if err != nil {
@@ -63,7 +63,7 @@
 		}
 		switch v := decoded.(type) {
 		case platform.Configuration:
-			d.applyConfiguration(v, len(row.Value), o)
+			d.applyConfiguration(v, len(row.Value), source)
 		case platform.Evacuation:
 			d.inventory.SetDataCentreOut(v.DataCentre, v.Out)
 			e := event.DataCentreIn
@@ -77,20 +77,20 @@
 
 // applyConfiguration makes a configuration current unless a newer one is in use. Its row has the
 // given size in bytes.
-func (d *Daemon) applyConfiguration(c platform.Configuration, size int, o origin) {
+func (d *Daemon) applyConfiguration(c platform.Configuration, size int, source updateSource) {
 	if old := d.routeTable.Load(); old != nil && c.Table.Version <= old.Version {
 		return
 	}
 	d.routeTable.Store(c.Table)
 	fields := []any{"Version", c.Table.Version, "Routes", len(c.Table.Routes), "Bytes", size}
-	d.log.Emit(event.ConfigurationRaised, append(fields, o.logFields(d.Clock.Now())...)...)
+	d.log.Emit(event.ConfigurationRaised, append(fields, source.logFields(d.Clock.Now())...)...)
 }
 
 // applyTargetRows handles rows of the targets table, which hold the reports of targets.
-func (d *Daemon) applyTargetRows(changes []platform.Row, o origin) {
+func (d *Daemon) applyTargetRows(changes []platform.Row, source updateSource) {
 	for _, row := range changes {
 		if row.Deleted {
-			d.inventory.Remove(row.Key, o.lapsed)
+			d.inventory.Remove(row.Key, source.lapsed)
 			continue
 		}
 		report, err := platform.DecodeTarget(row)
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -65,6 +65,9 @@
 
 // recordSuspicions adds changed evidence to pendingHoldings.
 func (s *Scheduler) recordSuspicions(changed []quarantine.Suspicion) {
+	if len(changed) == 0 {
+		return
+	}
 	if s.pendingHoldings == nil {
 		s.pendingHoldings = &clusterpb.Holdings{}
 	}
