fix(platform): let a full read take the time that the link needs

Callers saw nothing yet; a daemon on a 10 Mbit/s link never gets a configuration of about 700 KB unless another daemon sends it one.

Cause: a call to the store ends after 0.7 s, and the largest answer, 1 MB, needs 0.8 s on such a link.

A read of a whole table may now take longer by the time of the largest answer on the host's link: 0.84 s at 10 Mbit/s, 8 ms at 1,000.

--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -32,6 +32,8 @@
 	cpuShare float64
 	// ingress limits the bytes that the links to the daemon carry; nil means no limit.
 	ingress []*bandwidth
+	// linkBitsPerSecond is the bandwidth of the host's network as its settings name it; 0 means unknown.
+	linkBitsPerSecond float64
 	// unlinked means that no other daemon can open a link to this one.
 	unlinked bool
 }
@@ -90,7 +92,7 @@
 		DataCentre: h.dataCentre,
 		IP:         "127.0.0.1",
 		Listen:     platform.Listen{Peers: peers.Addr().String()},
-		Limits:     platform.HostLimits{CPUShare: h.cpuShare, MemoryBytes: 16 << 30},
+		Limits:     platform.HostLimits{CPUShare: h.cpuShare, MemoryBytes: 16 << 30, LinkBitsPerSecond: h.linkBitsPerSecond},
 		Heartbeat:  1200 * time.Millisecond,
 		Store:      platform.StoreSettings{Address: storeAddress},
 	}
@@ -196,6 +198,39 @@
 	return &limitedConn{Conn: c, limits: l.limits}, nil
 }
 
+// egressLimitedListener limits the bytes that are sent over its connections.
+type egressLimitedListener struct {
+	net.Listener
+	limit *bandwidth
+}
+
+func (l *egressLimitedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &egressLimitedConn{Conn: c, limit: l.limit}, nil
+}
+
+type egressLimitedConn struct {
+	net.Conn
+	limit *bandwidth
+}
+
+func (c *egressLimitedConn) Write(p []byte) (int, error) {
+	const chunk = 4 << 10
+	written := 0
+	for written < len(p) {
+		n, err := c.Conn.Write(p[written:min(written+chunk, len(p))])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		c.limit.take(n)
+	}
+	return written, nil
+}
+
 type limitedConn struct {
 	net.Conn
 	limits []*bandwidth
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -159,7 +159,7 @@
 	s := d.settings
 	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryBytes) * heapMemoryShare))
 	d.incarnation = strings.ReplaceAll(uuid.NewString(), "-", "")[:12]
-	d.store = &platform.Store{Address: s.Store.Address, LocalAddress: s.IP, Caller: s.Host}
+	d.store = &platform.Store{Address: s.Store.Address, LocalAddress: s.IP, Caller: s.Host, LinkBitsPerSecond: s.Limits.LinkBitsPerSecond}
 	d.inventory = &inventory.Inventory{Clock: d.Clock}
 	d.pool = &exchange.Pool{Clock: d.Clock, LocalAddress: s.IP}
 	d.mesh = &cluster.Mesh{
