fix(quarantine): spare the parts that sound requests share with fatal ones

Cause: three crashes may come before a sound request is answered, so that parts which tainted and sound requests share have the same evidence. All were quarantined, and then no answer could clear them.

A part that was answered before isn't taken as fatal while another explains the crash; of several that were never answered, it is the one that came in the fewest requests. If nothing tells them apart it takes six crashes.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,14 +6,17 @@
 // against a part is therefore a crash of an engine that has begun to answer a request with it
 // and has sent no event yet; an answered request clears all its parts. A part is quarantined after
 // several crashes without an answer in between, provided that engines of the service answer other
-// requests meanwhile: during an outage of the service, nothing can clear a part.
+// requests meanwhile: during an outage of the service, nothing can clear a part. Answers take a
+// while, so that parts which all requests of a kind share may have the same evidence by then; of
+// these, it is one that was never answered before, and the one that came in the fewest requests.
 //
 // The last part of a prompt belongs to one request or session and isn't tracked.
 //
 // # Usage
 //
 //	t := &quarantine.Tracker{Clock: clock}
-//	found := t.RecordCrash(service, parts) // report them to the other daemons
+//	t.RecordRequest(service, parts)
+//	changed, found := t.RecordCrash(service, parts) // report them to the other daemons
 //	t.RecordAnswer(service, parts)
 //	if part, blocked := t.Blocks(service, parts); blocked { ... }
 package quarantine
@@ -31,6 +34,9 @@
 	// crashesToQuarantine is the number of crashes without an answer in between after which a
 	// part is quarantined.
 	crashesToQuarantine = 3
+	// crashesWithoutDistinction is the same number for parts that were answered before, and for several
+	// parts of which nothing tells which one is fatal.
+	crashesWithoutDistinction = 6
 	// minOtherAnswers is the number of other requests of the service that must be answered
 	// between the first of these crashes and the last.
 	minOtherAnswers = 3
@@ -42,6 +48,9 @@
 	// holdTime is how long a part is quarantined after it was learned of. Requests with it are
 	// then sent again, since the engines may have been repaired.
 	holdTime = 10 * time.Minute
+	// answeredGeneration is the number of parts after which the older half of the answered parts is
+	// forgotten.
+	answeredGeneration = 4096
 	// maxSuspects limits the memory for suspected parts; those with the oldest crashes are
 	// forgotten first.
 	maxSuspects = 4096
@@ -68,14 +77,31 @@
 	suspects map[Part]*suspect
 	// held is when the quarantine of a part ends.
 	held map[Part]time.Time
-	// answers is the number of answered requests by service.
-	answers map[string]int
+	// answers is the number of answered requests by service, answered are the parts of the last ones.
+	answers  map[string]int
+	answered answeredParts
 }
 
+// answeredParts are the parts of recently answered requests. The zero value has none.
+type answeredParts struct {
+	recent, older map[Part]bool
+}
+
+func (a *answeredParts) add(p Part) {
+	if a.recent == nil || len(a.recent) >= answeredGeneration {
+		a.recent, a.older = map[Part]bool{}, a.recent
+	}
+	a.recent[p] = true
+}
+
+func (a *answeredParts) has(p Part) bool { return a.recent[p] || a.older[p] }
+
 // suspect is the evidence against one part.
 type suspect struct {
 	crashes   int
 	crashedAt time.Time
+	// requests is the number of requests with the part since the first crash.
+	requests int
 	// answersBefore is the number of answered requests of the service at the first crash.
 	answersBefore int
 }
@@ -100,14 +126,73 @@
 		s.crashes++
 		s.crashedAt = now
 		changed = append(changed, Suspicion{Part: p, Crashes: s.crashes})
-		if s.crashes >= crashesToQuarantine && t.answers[service]-s.answersBefore >= minOtherAnswers {
-			t.hold(p, now)
-			found = append(found, p)
-		}
+	}
+	if len(changed) == 0 {
+		return nil, nil
+	}
+	found = t.fatalParts(service, shared)
+	for _, p := range found {
+		t.hold(p, now)
 	}
 	return changed, found
 }
 
+// fatalParts returns the parts of a crash to quarantine. Several may have enough evidence, since
+// answers that would clear the sound ones take a while. Of these it is one that was never answered
+// before, and the one that came in the fewest requests.
+func (t *Tracker) fatalParts(service string, shared []Part) []Part {
+	var likeliest []Part
+	crashes := 0
+	for _, p := range shared {
+		s := t.suspects[p]
+		if s == nil || s.crashes < crashesToQuarantine || t.answers[service]-s.answersBefore < minOtherAnswers {
+			continue
+		}
+		switch order := t.compareSuspects(p, likeliest); {
+		case order < 0:
+			likeliest, crashes = []Part{p}, s.crashes
+		case order == 0:
+			likeliest, crashes = append(likeliest, p), max(crashes, s.crashes)
+		}
+	}
+	if len(likeliest) == 0 {
+		return nil
+	}
+	if (len(likeliest) > 1 || t.answered.has(likeliest[0])) && crashes < crashesWithoutDistinction {
+		return nil
+	}
+	return likeliest
+}
+
+// compareSuspects returns a negative number if the part is more likely to be fatal than the
+// others, which are equally likely, a positive one if less, and 0 if nothing tells them apart.
+func (t *Tracker) compareSuspects(p Part, others []Part) int {
+	if len(others) == 0 {
+		return -1
+	}
+	rank := func(p Part) int {
+		if t.answered.has(p) {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(rank(p), rank(others[0])), cmp.Compare(t.suspects[p].requests, t.suspects[others[0]].requests))
+}
+
+// RecordRequest records that a request with the parts has come.
+func (t *Tracker) RecordRequest(service string, parts []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.suspects) == 0 {
+		return
+	}
+	for _, p := range sharedParts(service, parts) {
+		if s := t.suspects[p]; s != nil {
+			s.requests++
+		}
+	}
+}
+
 // RecordAnswer records that a request with the parts was answered completely. It returns the parts
 // that were cleared, and those whose quarantine ends because of it.
 func (t *Tracker) RecordAnswer(service string, parts []string) (cleared []Suspicion, released []Part) {
@@ -117,10 +202,8 @@
 		t.answers = map[string]int{}
 	}
 	t.answers[service]++
-	if len(t.suspects) == 0 && len(t.held) == 0 {
-		return nil, nil
-	}
 	for _, p := range sharedParts(service, parts) {
+		t.answered.add(p)
 		if t.suspects[p] != nil {
 			delete(t.suspects, p)
 			cleared = append(cleared, Suspicion{Part: p})
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -13,6 +13,9 @@
 
 const llm = "llm"
 
+// maxCrashes is the largest number of crashes under one part: the fifth, and three more.
+const maxCrashes = 8
+
 func newTracker() (*quarantine.Tracker, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
 	return &quarantine.Tracker{Clock: clock}, clock
@@ -56,6 +59,77 @@
 	}
 }
 
+// TestCommonPartsOfCrashesAreNotQuarantined lets requests with a fatal part come so often that the
+// sound ones that share their other parts are still running at the third crash.
+func TestCommonPartsOfCrashesAreNotQuarantined(t *testing.T) {
+	tracker, clock := newTracker()
+	for crash := 1; crash <= 3; crash++ {
+		answerOthers(tracker)
+		fatal := []string{"common", "fatal", "rest", fmt.Sprintf("own-%d", crash)}
+		tracker.RecordRequest(llm, fatal)
+		tracker.RecordCrash(llm, fatal)
+		tracker.RecordRequest(llm, []string{"common", "rest", fmt.Sprintf("sound-%d", crash)})
+		clock.Advance(200 * time.Millisecond)
+	}
+	if held := tracker.Held(); len(held) != 1 || held[0].ID != "fatal" {
+		t.Errorf("%v are quarantined, want the fatal part only", held)
+	}
+}
+
+// TestPartsThatWereAnsweredBeforeAreSound lets requests with a fatal part come alone for a while: the
+// parts that they share with earlier sound ones aren't quarantined.
+func TestPartsThatWereAnsweredBeforeAreSound(t *testing.T) {
+	tracker, clock := newTracker()
+	tracker.RecordAnswer(llm, []string{"common", "rest", "own"})
+	for crash := 1; crash <= 3; crash++ {
+		fatal := []string{"common", "fatal", "rest", fmt.Sprintf("own-%d", crash)}
+		tracker.RecordRequest(llm, fatal)
+		tracker.RecordCrash(llm, fatal)
+		answerOthers(tracker)
+		clock.Advance(200 * time.Millisecond)
+	}
+	if held := tracker.Held(); len(held) != 1 || held[0].ID != "fatal" {
+		t.Errorf("%v are quarantined, want the fatal part only", held)
+	}
+}
+
+// TestSoundPartThatTurnsFatalIsQuarantined crashes engines with a part that was answered before.
+func TestSoundPartThatTurnsFatalIsQuarantined(t *testing.T) {
+	tracker, clock := newTracker()
+	parts := []string{"common", "fatal", "own"}
+	tracker.RecordAnswer(llm, parts)
+	for crash := 1; crash <= maxCrashes; crash++ {
+		if _, blocked := tracker.Blocks(llm, parts); blocked {
+			break
+		}
+		tracker.RecordRequest(llm, parts)
+		tracker.RecordCrash(llm, parts)
+		tracker.RecordRequest(llm, []string{"common", "sound", "own"})
+		tracker.RecordAnswer(llm, []string{"common", "sound", "own"})
+		answerOthers(tracker)
+		clock.Advance(time.Second)
+	}
+	if held := tracker.Held(); len(held) != 1 || held[0].ID != "fatal" {
+		t.Errorf("%v are quarantined, want the fatal part only", held)
+	}
+}
+
+// TestPartsThatAlwaysComeTogetherAreQuarantined crashes engines with parts that nothing tells apart.
+func TestPartsThatAlwaysComeTogetherAreQuarantined(t *testing.T) {
+	tracker, clock := newTracker()
+	for crash := 1; crash <= maxCrashes; crash++ {
+		if _, blocked := tracker.Blocks(llm, []string{"fatal", "companion", "own"}); blocked {
+			return
+		}
+		parts := []string{"fatal", "companion", fmt.Sprintf("own-%d", crash)}
+		tracker.RecordRequest(llm, parts)
+		tracker.RecordCrash(llm, parts)
+		answerOthers(tracker)
+		clock.Advance(time.Second)
+	}
+	t.Errorf("nothing is quarantined after %d crashes", maxCrashes)
+}
+
 func TestAnswerClearsParts(t *testing.T) {
 	tracker, clock := newTracker()
 	for range 10 {
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -23,6 +23,13 @@
 	return true
 }
 
+// recordRequest records that a request was submitted.
+func (s *Scheduler) recordRequest(r *request) {
+	if s.Quarantine != nil {
+		s.Quarantine.RecordRequest(r.generation.Service, partIDs(r.generation))
+	}
+}
+
 // endRequest removes a request that is over, and records how its last engine answered it.
 func (s *Scheduler) endRequest(m *clusterpb.Ended) {
 	if r := s.requests[m.GetID()]; r != nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -287,6 +287,7 @@
 	if s.rejectQuarantined(job.ID, r) {
 		return
 	}
+	s.recordRequest(r)
 	if job.Assigned != "" {
 		s.selector.RecordAssignment(now, job.Generation, job.Assigned, job.AnswerStarted)
 	}
