fix(forward): forward large answers of routes with stages that aren't streaming

Since the bound on events, an answer of more than 1 MB on it would have been dropped as an event that is too large.

Cause: the relay looks for events in every answer of a route with stages.

Evidence: TestLargeAnswerThatIsNoStreamIsForwarded, 0 of 3 MB before, all of it now; a stream with such bytes is still broken off.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -74,8 +74,8 @@
 // eventSeparator ends each event of a stream.
 var eventSeparator = []byte("\n\n")
 
-// maxEventBytes is the largest event that is buffered. A faulty engine may send bytes without end in
-// which no event ends.
+// maxEventBytes is the largest event, and what is buffered of an answer that isn't a stream. A faulty
+// engine may send bytes without end in which no event ends.
 const maxEventBytes = 1 << 20
 
 // relayEvents forwards the events that p completes and stores the rest. The error is
@@ -85,13 +85,16 @@
 	searched := max(len(s.pending)-len(eventSeparator)+1, 0)
 	s.pending = append(s.pending, p...)
 	end := bytes.LastIndex(s.pending[searched:], eventSeparator)
-	if end < 0 {
-		if len(s.pending) > maxEventBytes {
-			return problem.New(problem.TargetFailed, "an event has more than %d bytes", maxEventBytes)
-		}
+	switch {
+	case end >= 0:
+		end += searched + len(eventSeparator)
+	case len(s.pending) <= maxEventBytes:
 		return nil
+	case s.request.route.Kind == route.Streaming:
+		return problem.New(problem.TargetFailed, "an event has more than %d bytes", maxEventBytes)
+	default: // the answer isn't a stream
+		end = len(s.pending)
 	}
-	end += searched + len(eventSeparator)
 	whole := s.pending[:end]
 	s.events++
 	if _, err := s.request.w.Write(whole); err != nil {
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -2,16 +2,23 @@
 
 import (
 	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/exchange"
+	"github.com/sequoiapick/sequoiapick/internal/ingress"
 	"github.com/sequoiapick/sequoiapick/pkg/route"
+	"github.com/sequoiapick/sequoiapick/platform"
 )
 
 // TestBytesWithoutEventAreBounded relays bytes in which no event ends.
 func TestBytesWithoutEventAreBounded(t *testing.T) {
 	const maxBytes = 2 << 20
-	s := &stream{}
+	s := &stream{request: &requestState{route: &route.Route{Kind: route.Streaming}}}
 	chunk := bytes.Repeat([]byte("x"), 4096)
 	for relayed := 0; relayed < maxBytes; relayed += len(chunk) {
 		if s.relayEvents(chunk) != nil {
@@ -44,3 +51,54 @@
 		}
 	}
 }
+
+// streamHandler relays an answer to each request on a route of the kind.
+type streamHandler struct {
+	kind   route.Kind
+	answer func() *exchange.Answer
+}
+
+func (h streamHandler) Handle(ctx context.Context, r *ingress.Request, w *ingress.Responder) {
+	s := &stream{request: &requestState{request: r, w: w, route: &route.Route{Kind: h.kind}}}
+	if s.relay(ctx, h.answer()) != nil {
+		w.Abort()
+	}
+}
+
+func (h streamHandler) RejectMalformed(w *ingress.Responder, status int, reason string) {
+	_ = w.Answer(status, nil, []byte(reason))
+}
+
+// TestLargeAnswerThatIsNoStreamIsForwarded answers a request with stages that isn't streaming with a
+// body in which no event ends.
+func TestLargeAnswerThatIsNoStreamIsForwarded(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 3*maxEventBytes)
+	for _, c := range []struct {
+		kind  route.Kind
+		whole bool
+	}{{route.Safe, true}, {route.Streaming, false}} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := streamHandler{kind: c.kind, answer: func() *exchange.Answer {
+			return &exchange.Answer{Head: platform.AnswerHead{Status: 200}, Body: bytes.NewReader(body), Length: len(body)}
+		}}
+		server := &ingress.Server{Handler: h, Limits: func() route.Limits { return route.Limits{} }, Now: time.Now}
+		ended := make(chan error, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { ended <- server.Serve(ctx, listener) }()
+		response, err := http.Get("http://" + listener.Addr().String() + "/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if whole := err == nil && bytes.Equal(got, body); whole != c.whole {
+			t.Errorf("%s: the client got %d of %d bytes and %v, want all of them: %v", c.kind, len(got), len(body), err, c.whole)
+		}
+		cancel()
+		<-ended
+		server.CloseAll()
+	}
+}
