feat(forward): log how the end of an answer was marked

EntryAnswered and AttemptFailed have Framing now, and a broken stream the bytes of its unfinished event.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -131,11 +131,23 @@
 	Body io.Reader
 	// Length is the length of the body in bytes, negative if it is unknown.
 	Length int
-	// EndsWithConnection is set if the body has neither a length nor chunks. Its end doesn't show
-	// whether the answer is complete.
-	EndsWithConnection bool
+	// Framing is how the end of the body is marked.
+	Framing Framing
 }
 
+// Framing is how the end of a body is marked.
+type Framing string
+
+// The framings of bodies.
+const (
+	// Length announces the size.
+	Length Framing = "Length"
+	// Chunks mark the end with an empty chunk.
+	Chunks Framing = "Chunks"
+	// Connection has neither a length nor chunks: the body ends with its connection.
+	Connection Framing = "Connection"
+)
+
 // Conn is one connection to a target; it carries one exchange at a time.
 type Conn struct {
 	Address string
@@ -257,15 +269,17 @@
 	answer.Length = length
 	switch {
 	case r.NoBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
-		answer.Length = 0
+		answer.Length, answer.Framing = 0, Length
 		answer.Body = &body{conn: c, reader: emptyBody{}, reusable: reusable}
 	case length >= 0:
+		answer.Framing = Length
 		answer.Body = &body{conn: c, reader: io.LimitReader(c.reader, int64(length)), remaining: int64(length), hasLength: true, reusable: reusable}
 	case length == chunkedLength:
+		answer.Framing = Chunks
 		answer.Body = &body{conn: c, reader: &chunkedReader{reader: c.reader, chunks: httputil.NewChunkedReader(c.reader)}, reusable: reusable}
 	default:
+		answer.Framing = Connection
 		answer.Body = &body{conn: c, reader: c.reader}
-		answer.EndsWithConnection = true
 	}
 	if r.StallTimeout > 0 {
 		answer.Body = &stallReader{conn: c, reader: answer.Body, timeout: r.StallTimeout}
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -217,7 +217,7 @@
 		f.Pool.Release(conn)
 		f.Inventory.RecordSuccess(target.ID)
 		ticket.AnswerCompleted()
-		q.recordEnd(event.EntryAnswered, outcomeAnswered, "Target", target.ID, "Status", answer.Head.Status, "LastEvent", s.lastEventID)
+		q.recordEnd(event.EntryAnswered, outcomeAnswered, "Target", target.ID, "Status", answer.Head.Status, "Framing", answer.Framing, "LastEvent", s.lastEventID)
 		return engineOutcome{done: true}
 	}
 	f.Pool.Discard(conn)
@@ -225,7 +225,7 @@
 		return engineOutcome{err: err, inputsGone: true}
 	}
 	f.Inventory.RecordFailure(target.ID)
-	q.recordFailure(target.ID, outcomeBroken, "Reason", err.Error(), "LastEvent", s.lastEventID)
+	q.recordFailure(target.ID, outcomeBroken, "Reason", err.Error(), "Framing", answer.Framing, "LastEvent", s.lastEventID, "UnfinishedBytes", len(s.pending))
 	return engineOutcome{err: err, inputsGone: true, faulty: true, crashedAtStart: s.events == eventsBefore && isCut(err)}
 }
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		f.Pool.Discard(conn)
 		f.Inventory.RecordFailure(target.ID)
-		q.recordFailure(target.ID, "Truncated", "Reason", err.Error())
+		q.recordFailure(target.ID, "Truncated", "Reason", err.Error(), "Framing", answer.Framing)
 		return false, problem.New(problem.TargetFailed, "answer of target %s: %v", target.ID, err)
 	}
 	f.Pool.Release(conn)
@@ -109,7 +109,7 @@
 	}
 	f.Inventory.RecordSuccess(target.ID)
 	_ = q.w.Answer(answer.Head.Status, platform.AppendAnswerFields(nil, &answer.Header), body)
-	q.recordEnd(event.EntryAnswered, outcomeAnswered, "Target", target.ID, "Status", answer.Head.Status)
+	q.recordEnd(event.EntryAnswered, outcomeAnswered, "Target", target.ID, "Status", answer.Head.Status, "Framing", answer.Framing)
 	return true, nil
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -68,7 +68,7 @@
 	if s.request.route.Kind != route.Streaming {
 		return false
 	}
-	return len(bytes.TrimSpace(s.pending)) > 0 || empty && answer.EndsWithConnection
+	return len(bytes.TrimSpace(s.pending)) > 0 || empty && answer.Framing == exchange.Connection
 }
 
 // eventSeparator ends each event of a stream.
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -30,23 +30,23 @@
 
 func TestEndOfStreamShowsBrokenAnswer(t *testing.T) {
 	for _, c := range []struct {
-		name               string
-		kind               route.Kind
-		pending            string
-		empty              bool
-		endsWithConnection bool
-		broken             bool
+		name    string
+		kind    route.Kind
+		pending string
+		empty   bool
+		framing exchange.Framing
+		broken  bool
 	}{
-		{"after an event", route.Streaming, "", false, true, false},
-		{"inside an event", route.Streaming, "id: 2\nda", false, true, true},
-		{"inside an event, with a length", route.Streaming, "id: 2\nda", false, false, true},
-		{"behind white space", route.Streaming, "\n", false, true, false},
-		{"before any event", route.Streaming, "", true, true, true},
-		{"resumed behind the last event, with a length", route.Streaming, "", true, false, false},
-		{"an answer that isn't a stream", route.Safe, "body", true, true, false},
+		{"after an event", route.Streaming, "", false, exchange.Connection, false},
+		{"inside an event", route.Streaming, "id: 2\nda", false, exchange.Connection, true},
+		{"inside an event, with a length", route.Streaming, "id: 2\nda", false, exchange.Length, true},
+		{"behind white space", route.Streaming, "\n", false, exchange.Connection, false},
+		{"before any event", route.Streaming, "", true, exchange.Connection, true},
+		{"resumed behind the last event, with a length", route.Streaming, "", true, exchange.Length, false},
+		{"an answer that isn't a stream", route.Safe, "body", true, exchange.Connection, false},
 	} {
 		s := &stream{request: &requestState{route: &route.Route{Kind: c.kind}}, pending: []byte(c.pending)}
-		if broken := s.brokenOff(&exchange.Answer{EndsWithConnection: c.endsWithConnection}, c.empty); broken != c.broken {
+		if broken := s.brokenOff(&exchange.Answer{Framing: c.framing}, c.empty); broken != c.broken {
 			t.Errorf("%s: broken off is %v, want %v", c.name, broken, c.broken)
 		}
 	}
