fix(exchange): notice a reset that the write of the request body consumed

Cause: the operating system reports a reset once, to whichever call comes first. If the write got the error, the read saw a clean end, which is how such an answer ends.

Answers with a length or chunks show their end themselves and don't wait.

--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -35,6 +35,9 @@
 	remaining int64
 	// reusable is set if the target keeps the connection open after the answer.
 	reusable bool
+	// confirmEnd is called at the end of a body that ends with its connection; an error means that
+	// the body may be incomplete.
+	confirmEnd func() error
 }
 
 // Read implements io.Reader.
@@ -49,6 +52,11 @@
 			err = io.EOF
 		}
 	}
+	if err == io.EOF && b.confirmEnd != nil {
+		if failed := b.confirmEnd(); failed != nil {
+			return n, failed
+		}
+	}
 	if err == io.EOF {
 		b.conn.reusable = b.reusable
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -279,7 +279,7 @@
 		answer.Body = &body{conn: c, reader: &chunkedReader{reader: c.reader, chunks: httputil.NewChunkedReader(c.reader)}, reusable: reusable}
 	default:
 		answer.Framing = Connection
-		answer.Body = &body{conn: c, reader: c.reader}
+		answer.Body = &body{conn: c, reader: c.reader, confirmEnd: c.awaitBodySent}
 	}
 	if r.StallTimeout > 0 {
 		answer.Body = &stallReader{conn: c, reader: answer.Body, timeout: r.StallTimeout}
@@ -287,6 +287,26 @@
 	c.maxIdleTime = maxIdleTime(&answer.Header)
 }
 
+// awaitBodySent waits until the request body is written, at most for bodySendTimeout, and returns
+// io.ErrUnexpectedEOF if that failed. The operating system reports a reset to one call only: if that
+// is the write, the read sees a clean end.
+func (c *Conn) awaitBodySent() error {
+	if c.bodySent == nil {
+		return nil
+	}
+	timer := time.NewTimer(bodySendTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-c.bodySent:
+		c.bodySent <- err // for releaseAfterSend
+		if err != nil {
+			return io.ErrUnexpectedEOF
+		}
+	case <-timer.C:
+	}
+	return nil
+}
+
 // chunkedLength is the content length that fasthttp reports for a chunked body.
 const chunkedLength = -1
 
