fix(exchange): take an answer without framing as broken off if its target is gone

Callers saw: the bytes up to a crash as a complete answer, if the answer had neither a length nor chunks (ORDER, MIXED): a stream that ended behind a whole event, and an answer that is no stream wherever it ended. Requests that may be repeated weren't.

Cause: the operating system closes the connections of a process that ends in the same way as one that ends after a whole answer. Nothing in the bytes tells the two apart.

A process that ends also closes its port. At the end of such an answer the daemon opens a connection to the target; if none is accepted, the answer is broken off, and resumed, sent again or aborted as any other. The connection is kept for the next request, which needs a new one anyway.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -126,8 +126,9 @@
 type Answer struct {
 	Header fasthttp.ResponseHeader
 	Head   platform.AnswerHead
-	// Body ends with io.EOF if the answer is complete and with io.ErrUnexpectedEOF if it is
-	// truncated.
+	// Body ends with io.EOF if the answer is complete and with an error that is io.ErrUnexpectedEOF
+	// if it is truncated. A body that ends with its connection counts as truncated if the target
+	// doesn't accept another connection then.
 	Body io.Reader
 	// Length is the length of the body in bytes, negative if it is unknown.
 	Length int
@@ -152,6 +153,7 @@
 type Conn struct {
 	Address string
 
+	pool *Pool
 	// share is OpenOptions.Share of the last exchange.
 	share  int
 	net    net.Conn
@@ -192,7 +194,7 @@
 		c.setReadTimeout(r.FirstByteTimeout)
 	}
 	for range maxExtraAnswers + 1 {
-		answer, err := c.receive(r)
+		answer, err := c.receive(ctx, r)
 		if err != nil {
 			return nil, c.sendError("answer", err)
 		}
@@ -238,7 +240,7 @@
 }
 
 // receive reads the head of the next answer, skipping informational ones such as 100.
-func (c *Conn) receive(r Request) (*Answer, error) {
+func (c *Conn) receive(ctx context.Context, r Request) (*Answer, error) {
 	answer := &Answer{}
 	answer.Header.SetNoDefaultContentType(true)
 	for informational := 0; ; informational++ {
@@ -256,13 +258,13 @@
 		_ = c.net.SetReadDeadline(c.deadline)
 	}
 	answer.Head = platform.DecodeAnswerHead(&answer.Header)
-	c.attachBody(answer, r)
+	c.attachBody(ctx, answer, r)
 	return answer, nil
 }
 
 // attachBody sets the body of the answer, delimited by its length, its chunks or the end of
 // the connection.
-func (c *Conn) attachBody(answer *Answer, r Request) {
+func (c *Conn) attachBody(ctx context.Context, answer *Answer, r Request) {
 	status := answer.Head.Status
 	length := answer.Header.ContentLength()
 	reusable := !answer.Header.ConnectionClose()
@@ -279,7 +281,7 @@
 		answer.Body = &body{conn: c, reader: &chunkedReader{reader: c.reader, chunks: httputil.NewChunkedReader(c.reader)}, reusable: reusable}
 	default:
 		answer.Framing = Connection
-		answer.Body = &body{conn: c, reader: c.reader, confirmEnd: c.awaitBodySent}
+		answer.Body = &body{conn: c, reader: c.reader, confirmEnd: func() error { return c.confirmEnd(ctx) }}
 	}
 	if r.StallTimeout > 0 {
 		answer.Body = &stallReader{conn: c, reader: answer.Body, timeout: r.StallTimeout}
@@ -287,6 +289,19 @@
 	c.maxIdleTime = maxIdleTime(&answer.Header)
 }
 
+// confirmEnd returns an error that is io.ErrUnexpectedEOF if the end of the connection may not be the
+// end of the answer. When a process ends, its connections are closed as after a whole answer; its
+// port is closed too.
+func (c *Conn) confirmEnd(ctx context.Context) error {
+	if err := c.awaitBodySent(); err != nil {
+		return err
+	}
+	if err := c.pool.confirmListening(ctx, c.Address, c.share); err != nil {
+		return errors.Join(io.ErrUnexpectedEOF, err)
+	}
+	return nil
+}
+
 // awaitBodySent waits until the request body is written, at most for bodySendTimeout, and returns
 // io.ErrUnexpectedEOF if that failed. The operating system reports a reset to one call only: if that
 // is the write, the read sees a clean end.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -50,6 +50,20 @@
 	if conn := p.acquire(address, options); conn != nil {
 		return conn, nil
 	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		p.decrementInUse(address)
+		return nil, &SendError{NotSent: true, Err: problem.New(problem.Unavailable, "dial %s: %v", address, err)}
+	}
+	return p.newConn(c, address, options.Share), nil
+}
+
+func (p *Pool) newConn(c net.Conn, address string, share int) *Conn {
+	return &Conn{Address: address, pool: p, net: c, reader: bufio.NewReaderSize(c, maxHeadBytes), share: share}
+}
+
+// dial opens a connection to the address within DialTimeout.
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	dialer := net.Dialer{Control: setSocketOptions}
@@ -59,12 +73,31 @@
 	if p.OnDial != nil {
 		p.OnDial(address)
 	}
-	c, err := dialer.DialContext(ctx, "tcp", address)
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// confirmListening opens a connection to the address and stores it for the next request. If that
+// times out it tries once more, since the first packet may have been lost. It returns the error of
+// the last dial.
+func (p *Pool) confirmListening(ctx context.Context, address string, share int) error {
+	p.acquire(address, OpenOptions{Reuse: Fresh, Share: share})
+	c, err := p.dial(ctx, address)
+	if isTimeout(err) && ctx.Err() == nil {
+		c, err = p.dial(ctx, address)
+	}
 	if err != nil {
 		p.decrementInUse(address)
-		return nil, &SendError{NotSent: true, Err: problem.New(problem.Unavailable, "dial %s: %v", address, err)}
+		return err
 	}
-	return &Conn{Address: address, net: c, reader: bufio.NewReaderSize(c, maxHeadBytes), share: options.Share}, nil
+	conn := p.newConn(c, address, share)
+	conn.reusable, conn.maxIdleTime = true, MaxIdleTime
+	p.store(conn)
+	return nil
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
 }
 
 // decrementInUse removes one connection from the count of those in use.
