fix(ingress): reset connections of HTTP/1.0 whose answer is incomplete

Callers saw: a broken-off answer as complete if they speak HTTP/1.0 and the answer's length isn't known (ORDER, MIXED).

Cause: HTTP/1.0 has no chunks, so that the end of the connection ends the answer, and an aborted answer was closed like a whole one; so was one that the end of the daemon cut.

Evidence: TestAnswerOfCrashedTargetDoesNotLookComplete fails without the change for HTTP/1.0 in the seven cases in which the daemon sends no length, and passes with it. From the head of such an answer to its end, closing the connection resets it, whoever closes.

--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -212,16 +213,18 @@
 func TestAnswerOfCrashedTargetDoesNotLookComplete(t *testing.T) {
 	for _, r := range crashRoutes() {
 		for _, framing := range []string{"length", "chunks", "neither"} {
-			t.Run(r.name+"/"+framing, func(t *testing.T) {
-				t.Parallel()
-				_, body := frame(framing, "a1", (&targets{events: r.events}).text(""))
-				for sent := range len(body) {
-					for n := range 4 {
-						c := cut{framing: framing, sent: sent, reset: n%2 == 1}
-						checkCrash(t, r, "1.1", &targets{crashes: 1 + n/2, cut: c, events: r.events})
+			for _, protocol := range []string{"1.1", "1.0"} {
+				t.Run(strings.Join([]string{r.name, framing, protocol}, "/"), func(t *testing.T) {
+					t.Parallel()
+					_, body := frame(framing, "a1", (&targets{events: r.events}).text(""))
+					for sent := range len(body) {
+						for n := range 4 {
+							c := cut{framing: framing, sent: sent, reset: n%2 == 1}
+							checkCrash(t, r, protocol, &targets{crashes: 1 + n/2, cut: c, events: r.events})
+						}
 					}
-				}
-			})
+				})
+			}
 		}
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -363,6 +363,20 @@
 	return true
 }
 
+// resetOnClose sets whether the connection is reset when it is closed, also by the end of the process.
+// An answer that ends with its connection would look complete otherwise.
+func (c *conn) resetOnClose(reset bool) {
+	tcp, ok := c.net.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	_ = tcp.SetLinger(seconds) // fails only on a connection that is closed
+}
+
 // linger closes the sending side, then reads and drops what the client still sends, within
 // lingerTime and lingerBytes.
 func (c *conn) linger() {
--- a/internal/ingress/responder.go
+++ b/internal/ingress/responder.go
@@ -23,6 +23,8 @@
 	// aborted is set if the answer is left incomplete or a write failed.
 	aborted bool
 	chunked bool
+	// unframed is set if the end of the connection marks the end of the body.
+	unframed bool
 	// remaining is the number of body bytes still to be written, if the length is known.
 	remaining int64
 }
@@ -49,8 +51,10 @@
 	w.started = true
 	w.remaining = length
 	w.chunked = length == UnknownLength && !w.http10
-	if length == UnknownLength && w.http10 {
+	w.unframed = length == UnknownLength && w.http10
+	if w.unframed {
 		w.closeAfter = true
+		w.conn.resetOnClose(true)
 	}
 	return w.write(w.buildHead(status, fields, length))
 }
@@ -83,6 +87,9 @@
 	if w.chunked && !w.headOnly() {
 		return w.write([]byte("0\r\n\r\n"))
 	}
+	if w.unframed {
+		w.conn.resetOnClose(false)
+	}
 	return nil
 }
 
