fix(inventory): don't use targets whose rows come back with a restored store

Callers would see: requests sent to targets that had left (DRAIN).

Cause: the rows of targets that left in the seconds that the store lost are listed again, and a row that is listed was a target in use. The same for an earlier start of a target.

The starts that have ended are remembered for a minute. If one is listed by a store that has just been restored, the target is not used until it reports again or its row has outlived the time in which the store removes rows of silent targets. Targets that came in the lost seconds stay in use for the grace of lapsed rows until they report again.

--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -118,3 +118,57 @@
 		}
 	}
 }
+
+// putTarget writes the row of a target.
+func (c *testCluster) putTarget(id string, sequence int) {
+	value := fmt.Sprintf(`{"service":"llm","address":"127.0.0.1:1","zone":"a","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"seq":%d,"born":5}`, sequence)
+	c.store.Put(standinplatform.Row{Table: platform.TableTargets, Key: id, Value: []byte(value)})
+}
+
+// usable reports whether a daemon may send requests to a target.
+func usable(d *Daemon, id string) bool {
+	target, ok := d.inventory.Target(id)
+	return ok && target.Usable()
+}
+
+// awaitEra waits until the copies of a table of all daemons are of the era.
+func (c *testCluster) awaitEra(t *testing.T, table string, era int64) {
+	t.Helper()
+	for _, d := range c.daemons {
+		r := d.tableReaders[table]
+		waitUntil(t, 10*time.Second, d.settings.Host+" follows the era", func() bool { return !r.isNewerEra(era) })
+	}
+}
+
+// TestTargetThatLeftIsNotUsedAfterRestore restores the store from a copy from before a target left. A
+// target that came since then must stay in use.
+func TestTargetThatLeftIsNotUsedAfterRestore(t *testing.T) {
+	c := smallCluster(t)
+	c.putTarget("i-left", 1)
+	for _, d := range c.daemons {
+		waitUntil(t, configBound, d.settings.Host+" uses the target", func() bool { return usable(d, "i-left") })
+	}
+	saved := c.store.Snapshot()
+	c.store.Remove(platform.TableTargets, "i-left")
+	c.putTarget("i-came", 1)
+	for _, d := range c.daemons {
+		waitUntil(t, configBound, d.settings.Host+" follows both changes", func() bool { return !usable(d, "i-left") && usable(d, "i-came") })
+	}
+	c.store.Restore(saved)
+	for end := time.Now().Add(configBound); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, d := range c.daemons {
+			if usable(d, "i-left") {
+				t.Fatalf("%s uses a target that has left", d.settings.Host)
+			}
+		}
+		if time.Until(end) > configBound/2 {
+			c.putTarget("i-came", 2) // live targets report again
+		}
+	}
+	c.awaitEra(t, platform.TableTargets, 1)
+	for _, d := range c.daemons {
+		if !usable(d, "i-came") {
+			t.Errorf("%s doesn't use a target whose row was lost and written again", d.settings.Host)
+		}
+	}
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -81,6 +81,8 @@
 	Cut      bool
 	Suspect  bool
 	Replaced bool
+	// Unconfirmed means that the target had ended before the store was restored.
+	Unconfirmed bool
 }
 
 // State returns the daemon's current state.
@@ -109,7 +111,7 @@
 	for _, t := range d.inventory.Targets("") {
 		s.Targets = append(s.Targets, TargetState{
 			ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Address: t.Address,
-			Draining: t.Draining, Cold: t.Cold, Out: t.DataCentreOut, Cut: t.Unreachable, Suspect: t.Suspect, Replaced: t.Replaced,
+			Draining: t.Draining, Cold: t.Cold, Out: t.DataCentreOut, Cut: t.Unreachable, Suspect: t.Suspect, Replaced: t.Replaced, Unconfirmed: t.Unconfirmed,
 		})
 	}
 	return s
@@ -207,7 +209,7 @@
 	for _, s := range []struct {
 		holds bool
 		name  string
-	}{{t.Draining, "Draining"}, {t.Out, "Out"}, {t.Cut, "Cut"}, {t.Suspect, "Suspect"}, {t.Cold, "Cold"}, {t.Replaced, "Replaced"}} {
+	}{{t.Draining, "Draining"}, {t.Out, "Out"}, {t.Cut, "Cut"}, {t.Suspect, "Suspect"}, {t.Cold, "Cold"}, {t.Replaced, "Replaced"}, {t.Unconfirmed, "Unconfirmed"}} {
 		if s.holds {
 			return s.name
 		}
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -30,6 +30,10 @@
 	quarantineFollowerMaxAge = 8 * time.Second
 )
 
+// restoredRowWait is the time, in heartbeats, after which a row that came back with a restored store
+// counts as that of a live target: the store removes rows that aren't renewed for three heartbeats.
+const restoredRowWait = 4
+
 // createTableReaders creates the readers of the store's tables.
 func (d *Daemon) createTableReaders() {
 	reader := func(table string, feedTimeout, leaderInterval, followerMaxAge time.Duration, apply func([]platform.Row, updateSource)) *tableReader {
@@ -99,6 +103,10 @@
 			d.inventory.Remove(row.Key, false)
 			continue
 		}
+		if source.restored {
+			d.inventory.ApplyRestoredReport(report, restoredRowWait*d.settings.Heartbeat)
+			continue
+		}
 		d.inventory.ApplyReport(report)
 	}
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -33,6 +33,9 @@
 	// replacedDuration is the time for which a target isn't used after another one has answered
 	// at its address; the store removes the row of an ended target within three heartbeats.
 	replacedDuration = 4 * time.Second
+	// endedRetention is how long the ends of targets are remembered. The store may come back from a
+	// copy that is some seconds old, in which they are listed.
+	endedRetention = time.Minute
 	// lapseGrace is the time for which a target is used after its row has lapsed; rows of live
 	// targets reappear within about 2 s.
 	lapseGrace = 1800 * time.Millisecond
@@ -60,11 +63,14 @@
 	Suspect bool
 	// Replaced means that another target answers at its address.
 	Replaced bool
+	// Unconfirmed means that the store lists it again since it was restored from an older copy,
+	// though it had ended.
+	Unconfirmed bool
 }
 
 // Usable reports whether new work may be sent to the target. A suspect target is usable.
 func (t Target) Usable() bool {
-	return !t.Draining && !t.DataCentreOut && !t.Unreachable && !t.Replaced
+	return !t.Draining && !t.DataCentreOut && !t.Unreachable && !t.Replaced && !t.Unconfirmed
 }
 
 // Inventory holds the state of all targets. The zero value with a clock is ready to use; it is
@@ -72,8 +78,10 @@
 type Inventory struct {
 	Clock clockwork.Clock
 
-	mu                     sync.Mutex
-	targets                map[string]*targetState
+	mu      sync.Mutex
+	targets map[string]*targetState
+	// ended holds the times at which starts of targets ended or were replaced by another start.
+	ended                  map[startID]time.Time
 	outDataCentres         map[string]bool
 	unreachableDataCentres map[string]bool
 	version                uint64
@@ -89,15 +97,59 @@
 	// replacedUntil is when the target is used again although another one answered at its
 	// address.
 	replacedUntil time.Time
+	// unconfirmedUntil is when a target that had ended is used, unless its row has been removed.
+	unconfirmedUntil time.Time
 	// removeAt is when a target whose row has lapsed is removed; zero if the row exists.
 	removeAt time.Time
 }
 
+// startID identifies one start of a target.
+type startID struct {
+	id              string
+	startUnixMillis int64
+}
+
 // ApplyReport stores the report of a target. A report that is older than the stored one of the
 // same start is ignored.
 func (inv *Inventory) ApplyReport(r platform.TargetReport) {
 	inv.mu.Lock()
 	defer inv.mu.Unlock()
+	inv.applyReport(r)
+}
+
+// ApplyRestoredReport stores a report that the store lists after it was restored from an older copy.
+// The report of a start that has ended is ignored if another start is known. Otherwise the target
+// isn't used unless a newer report arrives, or its row is still there after the wait, in which the
+// store removes the rows of targets that don't report.
+func (inv *Inventory) ApplyRestoredReport(r platform.TargetReport, wait time.Duration) {
+	inv.mu.Lock()
+	defer inv.mu.Unlock()
+	_, ended := inv.ended[startID{r.ID, r.StartUnixMillis}]
+	if ended && inv.targets[r.ID] != nil {
+		return
+	}
+	inv.applyReport(r)
+	if ended {
+		inv.targets[r.ID].unconfirmedUntil = inv.Clock.Now().Add(wait)
+	}
+}
+
+// recordEnd records the end of a target's start.
+func (inv *Inventory) recordEnd(r platform.TargetReport) {
+	now := inv.Clock.Now()
+	if inv.ended == nil {
+		inv.ended = map[startID]time.Time{}
+	}
+	for id, at := range inv.ended {
+		if now.Sub(at) > endedRetention {
+			delete(inv.ended, id)
+		}
+	}
+	inv.ended[startID{r.ID, r.StartUnixMillis}] = now
+}
+
+// applyReport is ApplyReport for callers that hold mu.
+func (inv *Inventory) applyReport(r platform.TargetReport) {
 	if inv.targets == nil {
 		inv.targets = map[string]*targetState{}
 	}
@@ -110,6 +162,9 @@
 			r.Draining = true // draining ends only with a new start
 		}
 	} else {
+		if old != nil {
+			inv.recordEnd(old.report)
+		}
 		old = nil
 	}
 	s := old
@@ -121,6 +176,10 @@
 		s.replacedUntil = time.Time{}
 		inv.version++
 	}
+	if r.Sequence > s.report.Sequence && !s.unconfirmedUntil.IsZero() {
+		s.unconfirmedUntil = time.Time{}
+		inv.version++
+	}
 	changed := old == nil || s.report.Draining != r.Draining || !s.removeAt.IsZero() || s.report.Service != r.Service || s.report.DataCentre != r.DataCentre
 	wasCold := inv.Clock.Now().Before(s.coldUntil)
 	s.report = r
@@ -141,6 +200,7 @@
 		return
 	}
 	if !lapsed {
+		inv.recordEnd(s.report)
 		delete(inv.targets, id)
 		inv.version++
 		return
@@ -260,6 +320,7 @@
 	now := inv.Clock.Now()
 	for id, s := range inv.targets {
 		if !s.removeAt.IsZero() && now.After(s.removeAt) {
+			inv.recordEnd(s.report)
 			delete(inv.targets, id)
 			inv.version++
 			continue
@@ -287,6 +348,7 @@
 		DataCentreOut:   inv.outDataCentres[s.report.DataCentre],
 		Unreachable:     inv.unreachableDataCentres[s.report.DataCentre],
 		Replaced:        now.Before(s.replacedUntil),
+		Unconfirmed:     now.Before(s.unconfirmedUntil),
 		Suspect:         s.failures >= suspectAfter && now.Sub(s.failedAt) < suspectDuration,
 	}
 }
