fix(entry): keep a data centre out of service while its restored order is missing

Callers would see: requests sent to targets of a data centre that operators have taken out of service (EVAC), from the restore of the store until the order is written again.

Cause: an order that isn't listed was a cancelled order, also if the store has just come back from a copy that is older than the order.

Evidence: TestDataCentreStaysOutAfterRestore, in which the operator writes the order again after a second, fails without the change.

An order that is missing in the table of a restored store lapses: the data centre stays out for another 10 s unless the order is listed again. An order that was cancelled in the lost seconds is listed again too and is followed until the operator cancels it again; out wins.

--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -172,3 +172,37 @@
 		}
 	}
 }
+
+// TestDataCentreStaysOutAfterRestore restores the store from a copy from before an order that took a
+// data centre out of service; the operator gives it again a second later.
+func TestDataCentreStaysOutAfterRestore(t *testing.T) {
+	c := smallCluster(t)
+	c.putTarget("i-a", 1)
+	for _, d := range c.daemons {
+		waitUntil(t, configBound, d.settings.Host+" uses the target", func() bool { return usable(d, "i-a") })
+	}
+	order := standinplatform.Row{Table: platform.TableOperator, Key: "evacuate/a", Value: []byte("{}")}
+	saved := c.store.Snapshot()
+	c.store.Put(order)
+	for _, d := range c.daemons {
+		waitUntil(t, configBound, d.settings.Host+" follows the order", func() bool { return !usable(d, "i-a") })
+	}
+	c.store.Restore(saved)
+	restoredAt, given := time.Now(), false
+	for time.Since(restoredAt) < 2*time.Second {
+		for _, d := range c.daemons {
+			if usable(d, "i-a") {
+				t.Fatalf("%s uses a target of a data centre that is out of service", d.settings.Host)
+			}
+		}
+		if !given && time.Since(restoredAt) > time.Second {
+			given = true
+			c.store.Put(order)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.store.Remove(order.Table, order.Key)
+	for _, d := range c.daemons {
+		waitUntil(t, configBound, d.settings.Host+" uses the target again", func() bool { return usable(d, "i-a") })
+	}
+}
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -69,16 +69,28 @@
 		case platform.Configuration:
 			d.applyConfiguration(v, len(row.Value), source)
 		case platform.Evacuation:
-			d.inventory.SetDataCentreOut(v.DataCentre, v.Out)
-			e := event.DataCentreIn
-			if v.Out {
-				e = event.DataCentreOut
-			}
-			d.log.Emit(e, "DataCentre", v.DataCentre, "Version", row.Version)
+			d.applyEvacuation(v, row.Version, source)
 		}
 	}
 }
 
+// applyEvacuation takes a data centre out of service or puts it back. An order that is missing after
+// the store was restored may have been given in the time that the store lost.
+func (d *Daemon) applyEvacuation(v platform.Evacuation, version int64, source updateSource) {
+	e := event.DataCentreIn
+	switch {
+	case v.Out:
+		e = event.DataCentreOut
+		d.inventory.SetDataCentreOut(v.DataCentre, true)
+	case source.restored:
+		e = event.DataCentreOutLapsed
+		d.inventory.LapseDataCentreOut(v.DataCentre)
+	default:
+		d.inventory.SetDataCentreOut(v.DataCentre, false)
+	}
+	d.log.Emit(e, "DataCentre", v.DataCentre, "Version", version)
+}
+
 // applyConfiguration makes a configuration current unless a newer one is in use. Its row has the
 // given size in bytes.
 func (d *Daemon) applyConfiguration(c platform.Configuration, size int, source updateSource) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -74,6 +74,7 @@
 	DataCentreIn        = Event{603, "DataCentreIn", "all orders that took a data centre out of service were cancelled"}
 	TableRequested      = Event{604, "TableRequested", "an update of another daemon leaves a gap after this daemon's copy of a table, so that the whole table was requested from it"}
 	StoreRestored       = Event{605, "StoreRestored", "the platform's store was restored from an older copy; this daemon's copy of the table is of the era before"}
+	DataCentreOutLapsed = Event{606, "DataCentreOutLapsed", "the order that took a data centre out of service is missing since the platform's store was restored; it ends after a grace period unless it is given again"}
 	KeyClaimed          = Event{700, "KeyClaimed", "an idempotency key was claimed in the platform's table"}
 	KeyForwarded        = Event{701, "KeyForwarded", "a request with an idempotency key was forwarded to the daemon that owns the key"}
 	KeyUnverified       = Event{702, "KeyUnverified", "the earlier use of an idempotency key can't be looked up in the platform's table"}
@@ -100,7 +101,7 @@
 		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected, LinkLost, LeaderChanged, MemberLearned,
 		DataCentreCut, DataCentreReached,
 		ConfigurationRaised, ConfigurationStale, DataCentreOut, DataCentreIn, TableRequested,
-		StoreRestored, KeyClaimed, KeyForwarded, KeyUnverified, KeysHandedOver, KeysInherited,
+		StoreRestored, DataCentreOutLapsed, KeyClaimed, KeyForwarded, KeyUnverified, KeysHandedOver, KeysInherited,
 		DraftAccepted, DraftTakenOver, DraftFinished,
 		OrderSent, OrderRefused,
 	}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -33,6 +33,9 @@
 	// replacedDuration is the time for which a target isn't used after another one has answered
 	// at its address; the store removes the row of an ended target within three heartbeats.
 	replacedDuration = 4 * time.Second
+	// orderGrace is how long a data centre stays out of service whose order is missing since the
+	// store was restored from an older copy. Operators write it again.
+	orderGrace = 10 * time.Second
 	// endedRetention is how long the ends of targets are remembered. The store may come back from a
 	// copy that is some seconds old, in which they are listed.
 	endedRetention = time.Minute
@@ -82,7 +85,7 @@
 	targets map[string]*targetState
 	// ended holds the times at which starts of targets ended or were replaced by another start.
 	ended                  map[startID]time.Time
-	outDataCentres         map[string]bool
+	outDataCentres         map[string]outOfService
 	unreachableDataCentres map[string]bool
 	version                uint64
 }
@@ -103,6 +106,17 @@
 	removeAt time.Time
 }
 
+// outOfService is whether a data centre is taken out of service.
+type outOfService struct {
+	out bool
+	// until is when that ends, zero if it isn't limited.
+	until time.Time
+}
+
+func (o outOfService) at(now time.Time) bool {
+	return o.out && (o.until.IsZero() || now.Before(o.until))
+}
+
 // startID identifies one start of a target.
 type startID struct {
 	id              string
@@ -232,13 +246,23 @@
 
 // SetDataCentreOut sets whether a data centre is taken out of service.
 func (inv *Inventory) SetDataCentreOut(dataCentre string, out bool) {
+	inv.setDataCentre(dataCentre, outOfService{out: out})
+}
+
+// LapseDataCentreOut handles the order that took a data centre out of service if it is missing after
+// the store was restored from an older copy. Unless it is given again, it ends after a grace period.
+func (inv *Inventory) LapseDataCentreOut(dataCentre string) {
+	inv.setDataCentre(dataCentre, outOfService{out: true, until: inv.Clock.Now().Add(orderGrace)})
+}
+
+func (inv *Inventory) setDataCentre(dataCentre string, state outOfService) {
 	inv.mu.Lock()
 	defer inv.mu.Unlock()
 	if inv.outDataCentres == nil {
-		inv.outDataCentres = map[string]bool{}
+		inv.outDataCentres = map[string]outOfService{}
 	}
-	if inv.outDataCentres[dataCentre] != out {
-		inv.outDataCentres[dataCentre] = out
+	if inv.outDataCentres[dataCentre] != state {
+		inv.outDataCentres[dataCentre] = state
 		inv.version++
 	}
 }
@@ -345,7 +369,7 @@
 		StartUnixMillis: s.report.StartUnixMillis,
 		Draining:        s.report.Draining,
 		Cold:            now.Before(s.coldUntil),
-		DataCentreOut:   inv.outDataCentres[s.report.DataCentre],
+		DataCentreOut:   inv.outDataCentres[s.report.DataCentre].at(now),
 		Unreachable:     inv.unreachableDataCentres[s.report.DataCentre],
 		Replaced:        now.Before(s.replacedUntil),
 		Unconfirmed:     now.Before(s.unconfirmedUntil),
--- a/internal/inventory/restore_test.go
+++ b/internal/inventory/restore_test.go
@@ -64,3 +64,25 @@
 		t.Error("a target that drains is used after the restore")
 	}
 }
+
+func TestDataCentreStaysOutWhenItsOrderIsLost(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	inv := &inventory.Inventory{Clock: clock}
+	inv.ApplyReport(report(1))
+	inv.SetDataCentreOut("a", true)
+	inv.LapseDataCentreOut("a")
+	clock.Advance(5 * time.Second)
+	if usable(t, inv) {
+		t.Error("a target is used 5 s after the store lost the order that took its data centre out of service")
+	}
+	clock.Advance(6 * time.Second)
+	if !usable(t, inv) {
+		t.Error("a target isn't used although its data centre was not taken out of service again")
+	}
+	inv.LapseDataCentreOut("a")
+	inv.SetDataCentreOut("a", true)
+	clock.Advance(time.Minute)
+	if usable(t, inv) {
+		t.Error("a target is used although its data centre was taken out of service again")
+	}
+}
