fix(entry): register again after the store was restored

Daemons that registered in the seconds that the store lost would be dropped by the others, with their links; those that had unregistered would count again, so that limits are divided by too many; a restored row of a daemon's former start would reset all links to it.

Cause: the members table holds what the system itself wrote. Nobody writes it again after a restore, and its rows were taken for newer than what the daemons knew.

Evidence: TestMembersSurviveRestore fails without registering again and without keeping what is known; TestRestoredMemberDoesNotReplaceItsNextIncarnation fails without the latter.

After a restore a daemon whose row is missing writes it again; rows about known daemons are ignored until these do; the leader removes the rows of daemons that had unregistered, under the condition that they haven't changed.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -8,6 +8,7 @@
 
 	"github.com/sequoiapick/sequoiapick/internal/cluster"
 	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/mirror"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
 	"github.com/sequoiapick/sequoiapick/platform"
 )
@@ -16,19 +17,39 @@
 type memberTable struct {
 	daemon *Daemon
 
-	mu           sync.Mutex
-	known        map[string]cluster.Member
+	// lost is signalled when the store has lost this daemon's row.
+	lost chan struct{}
+
+	// departed receives the rows of daemons that have unregistered and are listed again.
+	departed chan platform.Row
+
+	mu    sync.Mutex
+	known map[string]cluster.Member
+	// left holds the incarnations of the daemons that have unregistered, by host.
+	left         map[string]string
 	unregistered bool
 }
 
+// departedQueueLength limits the rows that wait to be removed.
+const departedQueueLength = 64
+
 // applyRows handles rows of the members table, each of which holds one daemon.
-func (m *memberTable) applyRows(changes []platform.Row, _ updateSource) {
+func (m *memberTable) applyRows(changes []platform.Row, source updateSource) {
+	if source.restored && !m.isListed(source.table) {
+		m.reregister()
+	}
 	m.mu.Lock()
 	if m.known == nil {
-		m.known = map[string]cluster.Member{}
+		m.known, m.left = map[string]cluster.Member{}, map[string]string{}
 	}
 	for _, row := range changes {
+		if source.restored && m.isOutdated(row) {
+			continue
+		}
 		if row.Deleted {
+			if member, ok := m.known[row.Key]; ok {
+				m.left[row.Key] = member.Incarnation
+			}
 			delete(m.known, row.Key)
 			continue
 		}
@@ -38,6 +59,7 @@
 			continue
 		}
 		m.known[row.Key] = member
+		delete(m.left, row.Key)
 	}
 	list := make([]cluster.Member, 0, len(m.known))
 	for _, member := range m.known {
@@ -47,25 +69,110 @@
 	m.daemon.mesh.SetMembers(list)
 }
 
-// register writes this daemon's row; it retries until that succeeds or the context ends.
+// isOutdated reports whether a row with which the store was restored is older than what is known: a
+// known daemon's row is missing or names another incarnation, or the daemon has unregistered since.
+// Daemons that run register again; the rows of those that have unregistered are removed again. The
+// caller holds mu.
+func (m *memberTable) isOutdated(row platform.Row) bool {
+	if _, known := m.known[row.Key]; known {
+		return true
+	}
+	var member cluster.Member
+	if row.Deleted || json.Unmarshal(row.Value, &member) != nil || m.left[row.Key] != member.Incarnation {
+		return false
+	}
+	select {
+	case m.departed <- row:
+	default:
+		m.daemon.log.Emit(event.LoopFailed, "Task", "register", "Reason", "too many members to remove", "Member", row.Key)
+	}
+	return true
+}
+
+// isListed reports whether a table of members has the row of this incarnation.
+func (m *memberTable) isListed(table *mirror.Mirror) bool {
+	row, ok := table.Row(m.daemon.settings.Host)
+	if !ok {
+		return false
+	}
+	var member cluster.Member
+	err := json.Unmarshal(row.Value, &member)
+	return err == nil && member.Incarnation == m.daemon.incarnation
+}
+
+// reregister makes register write this daemon's row again.
+func (m *memberTable) reregister() {
+	select {
+	case m.lost <- struct{}{}:
+	default:
+	}
+}
+
+// register writes this daemon's row, and again whenever the store has lost it, and removes the rows of
+// daemons that have unregistered, until the context ends.
 func (m *memberTable) register(ctx context.Context) error {
-	d := m.daemon
-	value, err := json.Marshal(d.mesh.Self)
+	value, err := json.Marshal(m.daemon.mesh.Self)
 	if err != nil {
 		return problem.New(problem.Internal, "encode member: %v", err)
 	}
-	var retry backoff
 	for ctx.Err() == nil {
-		_, err = d.store.Commit(ctx, platform.Transaction{Puts: []platform.Row{{
+		m.writeRow(ctx, value)
+		m.awaitLoss(ctx)
+	}
+	return nil
+}
+
+// awaitLoss waits until the store has lost this daemon's row or the context ends.
+func (m *memberTable) awaitLoss(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.lost:
+			return
+		case row := <-m.departed:
+			m.removeRow(ctx, row)
+		}
+	}
+}
+
+// removeRow removes the row of another daemon, unless that has registered since. The leader does it;
+// without one, all daemons do.
+func (m *memberTable) removeRow(ctx context.Context, row platform.Row) {
+	d := m.daemon
+	if leader := d.mesh.Leader(); leader != "" && leader != d.settings.Host {
+		return
+	}
+	_, err := d.store.Commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Table: row.Table, Key: row.Key, Version: row.Version}},
+		Removals:   []platform.Row{row},
+	})
+	if err != nil && problem.Of(err) != problem.Conflict {
+		d.log.Emit(event.LoopFailed, "Task", "register", "Reason", err.Error(), "Member", row.Key)
+	}
+}
+
+// writeRow writes this daemon's row; it retries until that succeeds, the daemon has unregistered or
+// the context ends.
+func (m *memberTable) writeRow(ctx context.Context, value []byte) {
+	d := m.daemon
+	var retry backoff
+	for ctx.Err() == nil && !m.isUnregistered() {
+		_, err := d.store.Commit(ctx, platform.Transaction{Puts: []platform.Row{{
 			Table: platform.TableMembers, Key: d.settings.Host, Value: value,
 		}}})
 		if err == nil {
-			return nil
+			return
 		}
 		d.log.Emit(event.LoopFailed, "Task", "register", "Reason", err.Error())
 		d.sleep(ctx, retry.next())
 	}
-	return nil
+}
+
+func (m *memberTable) isUnregistered() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.unregistered
 }
 
 // unregisterTimeout limits the time to remove this daemon's row when it stops.
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -206,3 +207,58 @@
 		waitUntil(t, configBound, d.settings.Host+" uses the target again", func() bool { return usable(d, "i-a") })
 	}
 }
+
+// memberRow returns the row of a daemon.
+func memberRow(t *testing.T, host, incarnation string) standinplatform.Row {
+	t.Helper()
+	value, err := json.Marshal(cluster.Member{Host: host, DataCentre: "a", Address: "127.0.0.1:1", Incarnation: incarnation})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return standinplatform.Row{Table: platform.TableMembers, Key: host, Value: value}
+}
+
+// TestMembersSurviveRestore restores the store from a copy from before one daemon registered and
+// another one unregistered. The first must be listed again and the second must not.
+func TestMembersSurviveRestore(t *testing.T) {
+	c := smallCluster(t)
+	c.store.Put(memberRow(t, "h-left", "1"))
+	for _, d := range c.daemons {
+		waitUntil(t, 10*time.Second, d.settings.Host+" knows the other daemon", func() bool { return d.mesh.Size() == len(c.daemons)+1 })
+	}
+	saved := c.store.Snapshot()
+	c.store.Remove(platform.TableMembers, "h-left")
+	c.daemons = append(c.daemons, startDaemon(t, "h-new", hostSpec{dataCentre: "a", cpuShare: 0.4}, c.storeAddress))
+	waitUntil(t, 20*time.Second, "all know the new daemon and not the other", c.settled)
+	c.store.Restore(saved)
+	c.awaitEra(t, platform.TableMembers, 1)
+	reader := &platform.Store{Address: c.storeAddress}
+	waitUntil(t, 5*time.Second, "the store lists the daemons that run", func() bool {
+		rows, err := reader.Read(t.Context(), platform.TableMembers)
+		if err != nil {
+			return false
+		}
+		listed := map[string]bool{}
+		for _, row := range rows.Rows {
+			listed[row.Key] = true
+		}
+		return len(listed) == len(c.daemons) && listed["h-new"]
+	})
+	for _, d := range c.daemons {
+		if got := d.mesh.Size(); got != len(c.daemons) {
+			t.Errorf("%s counts %d daemons, want %d", d.settings.Host, got, len(c.daemons))
+		}
+	}
+}
+
+// TestRestoredMemberDoesNotReplaceItsNextIncarnation restores the row of a daemon's former start.
+func TestRestoredMemberDoesNotReplaceItsNextIncarnation(t *testing.T) {
+	c := smallCluster(t)
+	first := memberRow(t, "h-1", "former")
+	d := c.daemons[0]
+	incarnation := c.daemons[1].incarnation
+	d.members.applyRows([]platform.Row{{Table: first.Table, Key: first.Key, Value: first.Value, Version: 1}}, updateSource{restored: true, table: &d.tableReaders[platform.TableMembers].mirror})
+	if got := d.mesh.Incarnation("h-1"); got != incarnation {
+		t.Errorf("the incarnation is %q after the restore, want %q", got, incarnation)
+	}
+}
--- a/internal/entry/table_reader.go
+++ b/internal/entry/table_reader.go
@@ -57,6 +57,8 @@
 	// what was written after the copy was made is missing and will be written again, and what was
 	// overwritten or removed since is back.
 	restored bool
+	// table is the copy with the rows applied.
+	table *mirror.Mirror
 }
 
 // logFields returns the fields of the source for log lines. AgeMillis is the longest time since the
@@ -284,7 +286,8 @@
 	source.lapsed = !r.storeReturnedAt.IsZero() && now.Sub(r.storeReturnedAt) < lapseWindow
 	from, loaded := r.mirror.Version(), r.mirror.Loaded()
 	changes, contiguous := r.mirror.Apply(u)
-	if contiguous && len(changes) > 0 {
+	source.table = &r.mirror
+	if contiguous && (len(changes) > 0 || source.restored) {
 		r.apply(changes, source)
 	}
 	if contiguous && loaded {
