fix(entry): write quarantined parts again after the store was restored

Daemons that start after a restore would send requests with a part that crashes engines (BUDGET), since its row is gone, and all would reject requests with a part whose quarantine had ended in the lost seconds.

Cause: the quarantine table holds what the system itself wrote; a missing row ended a quarantine and a listed one began it, also if the store was older than the daemons' view.

Evidence: TestQuarantineSurvivesRestore fails without keeping the daemons' view and without writing it again.

After a restore the daemons keep what they know, and write missing rows and remove ended ones again, the one of the lowest rank first. Ends are remembered for a minute.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -176,7 +176,7 @@
 		ConfigurationVersion: d.configurationVersion,
 	}
 	tracker := &quarantine.Tracker{Clock: d.Clock}
-	d.quarantine = quarantineTable{daemon: d, tracker: tracker, changes: make(chan quarantineChange, quarantineQueueLength)}
+	d.quarantine = quarantineTable{daemon: d, tracker: tracker, changes: make(chan quarantineChange, quarantineQueueLength), restored: make(chan struct{}, 1)}
 	d.scheduler = &scheduler.Scheduler{
 		Host:            s.Host,
 		Mesh:            d.mesh,
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,8 +30,18 @@
 	daemon  *Daemon
 	tracker *quarantine.Tracker
 	changes chan quarantineChange
+	// restored is signalled when the store was restored from an older copy.
+	restored chan struct{}
+
+	// mu guards released, the times at which quarantines ended, by the key of the row.
+	mu       sync.Mutex
+	released map[string]time.Time
 }
 
+// releaseRetention is how long the end of a quarantine is remembered. The store may come back from a
+// copy that is some seconds old, in which the part is listed.
+const releaseRetention = time.Minute
+
 // quarantineChange is the begin or the end of a quarantine.
 type quarantineChange struct {
 	part     quarantine.Part
@@ -46,6 +57,7 @@
 }
 
 func (q *quarantineTable) share(c quarantineChange) {
+	q.record(c)
 	q.log(c, "Self")
 	q.daemon.mesh.Broadcast(&clusterpb.Envelope{Kind: &clusterpb.Envelope_Quarantine{Quarantine: &clusterpb.Quarantine{
 		Service: c.part.Service, Part: c.part.ID, Released: c.released,
@@ -62,9 +74,19 @@
 	q.apply(quarantineChange{part: quarantine.Part{Service: m.GetService(), ID: m.GetPart()}, released: m.GetReleased()}, from)
 }
 
-// applyRows handles rows of the table, each of which holds one quarantined part.
-func (q *quarantineTable) applyRows(changes []platform.Row, _ updateSource) {
+// applyRows handles rows of the table, each of which holds one quarantined part. After the store was
+// restored, what this daemon knows is newer than the rows; run writes it again.
+func (q *quarantineTable) applyRows(changes []platform.Row, source updateSource) {
+	if source.restored {
+		select {
+		case q.restored <- struct{}{}:
+		default:
+		}
+	}
 	for _, row := range changes {
+		if source.restored && (row.Deleted || q.wasReleased(row.Key)) {
+			continue
+		}
 		if row.Deleted {
 			for _, p := range q.tracker.Held() {
 				if quarantineKey(p) == row.Key {
@@ -85,6 +107,7 @@
 // apply applies a change of the source, which is a host or the store.
 func (q *quarantineTable) apply(c quarantineChange, source string) {
 	changed := false
+	q.record(c)
 	if c.released {
 		changed = q.tracker.Release(c.part)
 	} else {
@@ -95,6 +118,34 @@
 	}
 }
 
+// record records whether the quarantine of a part has ended.
+func (q *quarantineTable) record(c quarantineChange) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.daemon.Clock.Now()
+	if q.released == nil {
+		q.released = map[string]time.Time{}
+	}
+	for key, at := range q.released {
+		if now.Sub(at) > releaseRetention {
+			delete(q.released, key)
+		}
+	}
+	key := quarantineKey(c.part)
+	delete(q.released, key)
+	if c.released {
+		q.released[key] = now
+	}
+}
+
+// wasReleased reports whether the quarantine with the key has ended recently.
+func (q *quarantineTable) wasReleased(key string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	_, released := q.released[key]
+	return released
+}
+
 func (q *quarantineTable) log(c quarantineChange, source string) {
 	e := event.PartQuarantined
 	if c.released {
@@ -114,6 +165,10 @@
 			return nil
 		case c := <-q.changes:
 			q.write(ctx, c)
+		case <-q.restored:
+			// Usually the daemon of the lowest rank writes, and the others see its rows.
+			q.daemon.sleep(ctx, min(time.Duration(q.daemon.mesh.LiveRank())*staggerDelay, maxStaggerDelay))
+			q.writeLost(ctx)
 		case <-ticker.Chan():
 			q.removeExpired()
 		}
@@ -155,6 +210,23 @@
 	}
 }
 
+// writeLost writes the quarantines that are missing in the table, and removes those that have ended.
+func (q *quarantineTable) writeLost(ctx context.Context) {
+	listed := map[string]bool{}
+	for _, row := range q.daemon.tableReaders[platform.TableQuarantine].rows() {
+		listed[row.Key] = true
+		var p quarantine.Part
+		if q.wasReleased(row.Key) && json.Unmarshal(row.Value, &p) == nil {
+			q.write(ctx, quarantineChange{part: p, released: true})
+		}
+	}
+	for _, p := range q.tracker.Held() {
+		if !listed[quarantineKey(p)] {
+			q.write(ctx, quarantineChange{part: p})
+		}
+	}
+}
+
 // quarantineKey returns the key of the row of a part. Clients choose the IDs of parts, which may be
 // longer than a key.
 func quarantineKey(p quarantine.Part) string {
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sequoiapick/sequoiapick/internal/cluster"
 	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
+	"github.com/sequoiapick/sequoiapick/internal/quarantine"
 	standinplatform "github.com/sequoiapick/sequoiapick/internal/standin/platform"
 	"github.com/sequoiapick/sequoiapick/platform"
 )
@@ -262,3 +263,53 @@
 		t.Errorf("the incarnation is %q after the restore, want %q", got, incarnation)
 	}
 }
+
+// TestQuarantineSurvivesRestore restores the store from a copy from before one part was quarantined and
+// another one released.
+func TestQuarantineSurvivesRestore(t *testing.T) {
+	c := smallCluster(t)
+	held, released := quarantine.Part{Service: "llm", ID: "held"}, quarantine.Part{Service: "llm", ID: "released"}
+	finder := &c.daemons[0].quarantine
+	rows := func() map[string]bool {
+		listed := map[string]bool{}
+		read, err := (&platform.Store{Address: c.storeAddress}).Read(t.Context(), platform.TableQuarantine)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, row := range read.Rows {
+			listed[row.Key] = true
+		}
+		return listed
+	}
+	finder.tracker.Hold(released)
+	finder.hold(released)
+	waitUntil(t, quarantineBound, "the part is listed", func() bool { return rows()[quarantineKey(released)] })
+	saved := c.store.Snapshot()
+	finder.tracker.Release(released)
+	finder.release(released)
+	finder.tracker.Hold(held)
+	finder.hold(held)
+	agreed := func() bool {
+		for _, d := range c.daemons {
+			if !d.blocksPart(held) || d.blocksPart(released) {
+				return false
+			}
+		}
+		listed := rows()
+		return listed[quarantineKey(held)] && !listed[quarantineKey(released)]
+	}
+	waitUntil(t, quarantineBound, "the daemons and the store agree", agreed)
+	c.store.Restore(saved)
+	for _, d := range c.daemons {
+		r := d.tableReaders[platform.TableQuarantine]
+		waitUntil(t, 15*time.Second, d.settings.Host+" follows the era", func() bool {
+			if !d.blocksPart(held) || d.blocksPart(released) {
+				t.Fatalf("%s blocks the held part: %v, the released one: %v", d.settings.Host, d.blocksPart(held), d.blocksPart(released))
+			}
+			return !r.isNewerEra(1)
+		})
+	}
+	waitUntil(t, quarantineBound, "the daemons and the store agree after the restore", agreed)
+	late := startDaemon(t, "late", hostSpec{dataCentre: "b", cpuShare: 0.4}, c.storeAddress)
+	waitUntil(t, quarantineBound, "a daemon that starts later blocks the part", func() bool { return late.blocksPart(held) && !late.blocksPart(released) })
+}
--- a/internal/entry/table_reader.go
+++ b/internal/entry/table_reader.go
@@ -322,6 +322,13 @@
 	return r.mirror.Loaded()
 }
 
+// rows returns the rows of the copy.
+func (r *tableReader) rows() []platform.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mirror.Rows()
+}
+
 // handleUpdate applies an update of another daemon and doesn't relay it. If it isn't contiguous
 // with the copy, the whole table is requested from the sender. If its versions are of a newer era,
 // the store is read.
