fix(entry): keep linked daemons that the restored members table knows by a former start

Callers saw nothing. A daemon that others know over links only, because its row was written in the seconds that the store lost or not read yet, was replaced by the restored row of its former start, which resets the links to it.

Cause: the check for outdated rows asked the table's former rows only.

Evidence: TestRestoredMemberDoesNotReplaceItsNextIncarnation failed once in two runs of the package: the row of h-1 wasn't read yet.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -74,7 +74,7 @@
 // Daemons that run register again; the rows of those that have unregistered are removed again. The
 // caller holds mu.
 func (m *memberTable) isOutdated(row platform.Row) bool {
-	if _, known := m.known[row.Key]; known {
+	if _, known := m.known[row.Key]; known || m.daemon.mesh.Incarnation(row.Key) != "" {
 		return true
 	}
 	var member cluster.Member
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -258,9 +258,12 @@
 	first := memberRow(t, "h-1", "former")
 	d := c.daemons[0]
 	incarnation := c.daemons[1].incarnation
+	waitUntil(t, 10*time.Second, "h-0 is linked to h-1", func() bool { return d.mesh.Incarnation("h-1") == incarnation })
 	d.members.applyRows([]platform.Row{{Table: first.Table, Key: first.Key, Value: first.Value, Version: 1}}, updateSource{restored: true, table: &d.tableReaders[platform.TableMembers].mirror})
-	if got := d.mesh.Incarnation("h-1"); got != incarnation {
-		t.Errorf("the incarnation is %q after the restore, want %q", got, incarnation)
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if got := d.mesh.Incarnation("h-1"); got != incarnation {
+			t.Fatalf("the incarnation is %q after the restore, want %q", got, incarnation)
+		}
 	}
 }
 
