fix(entry): pass on the configuration in use while a restored store lists an older one

Callers would see: a dropped route served, a revoked key accepted or an added route denied by daemons that start between the restore of the store and the operator's next write (CONFIG, DENIED); the same from a configuration that is written again with another content.

Cause: daemons got the configuration from the store's table or a copy of it only, and after a restore both hold the older one. A version that was in use was never taken again, though versions are given out again.

Evidence: TestDaemonThatStartsAfterRestoreUsesNewestConfiguration and TestConfigurationRewrittenWithSameVersionIsUsed fail without the change.

A daemon that uses a newer configuration than the store lists sends it over each link that opens. The receiver takes it if it is newer; the same version with another content is taken if it was read in a newer era.

--- a/internal/entry/cluster_handler.go
+++ b/internal/entry/cluster_handler.go
@@ -23,6 +23,8 @@
 		}
 	case *clusterpb.Envelope_Quarantine:
 		d.quarantine.receive(from, k.Quarantine)
+	case *clusterpb.Envelope_Configuration:
+		d.receiveConfiguration(from, sentAfter, k.Configuration.GetRow())
 	case *clusterpb.Envelope_Wanted:
 		if r := d.tableReaders[k.Wanted.GetTable()]; r != nil {
 			r.sendTable(from)
@@ -52,6 +54,7 @@
 // yet from the other daemon.
 func (d *Daemon) LinkOpened(host string) {
 	d.scheduler.LinkOpened(host)
+	d.sendConfiguration(host)
 	for _, r := range d.tableReaders {
 		if !r.loaded() {
 			r.requestTable(host)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -65,21 +65,23 @@
 	// DroppedLogLines returns the number of log lines dropped so far; it may be nil.
 	DroppedLogLines func() int64
 
-	settings     platform.Settings
-	incarnation  string
-	log          event.Log
-	routeTable   atomic.Pointer[route.Table]
-	store        *platform.Store
-	inventory    *inventory.Inventory
-	pool         *exchange.Pool
-	mesh         *cluster.Mesh
-	scheduler    *scheduler.Scheduler
-	forwarder    *forward.Forwarder
-	ingress      *ingress.Server
-	metrics      *metric.EntryInstruments
-	tableReaders map[string]*tableReader
-	members      memberTable
-	quarantine   quarantineTable
+	settings    platform.Settings
+	incarnation string
+	log         event.Log
+	routeTable  atomic.Pointer[route.Table]
+	// configuration is that of routeTable.
+	configuration configurationInUse
+	store         *platform.Store
+	inventory     *inventory.Inventory
+	pool          *exchange.Pool
+	mesh          *cluster.Mesh
+	scheduler     *scheduler.Scheduler
+	forwarder     *forward.Forwarder
+	ingress       *ingress.Server
+	metrics       *metric.EntryInstruments
+	tableReaders  map[string]*tableReader
+	members       memberTable
+	quarantine    quarantineTable
 
 	listeners listeners
 	stopping  atomic.Bool
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -316,3 +316,33 @@
 	late := startDaemon(t, "late", hostSpec{dataCentre: "b", cpuShare: 0.4}, c.storeAddress)
 	waitUntil(t, quarantineBound, "a daemon that starts later blocks the part", func() bool { return late.blocksPart(held) && !late.blocksPart(released) })
 }
+
+// TestDaemonThatStartsAfterRestoreUsesNewestConfiguration starts a daemon while the store lists an older
+// configuration than the one in use.
+func TestDaemonThatStartsAfterRestoreUsesNewestConfiguration(t *testing.T) {
+	c := smallCluster(t)
+	saved := c.store.Snapshot()
+	c.putConfiguration(t, 2)
+	c.awaitConfiguration(t, 2)
+	c.store.Restore(saved)
+	c.awaitEra(t, platform.TableOperator, 1)
+	late := startDaemon(t, "late", hostSpec{dataCentre: "b", cpuShare: 0.4}, c.storeAddress)
+	waitUntil(t, configBound, "the daemon uses version 2", func() bool { return late.configurationVersion() == 2 })
+	c.putConfiguration(t, 3)
+	c.daemons = append(c.daemons, late)
+	c.awaitConfiguration(t, 3)
+}
+
+// TestConfigurationRewrittenWithSameVersionIsUsed writes another configuration under a version that was
+// lost.
+func TestConfigurationRewrittenWithSameVersionIsUsed(t *testing.T) {
+	c := smallCluster(t)
+	saved := c.store.Snapshot()
+	c.putConfiguration(t, 2)
+	c.awaitConfiguration(t, 2)
+	c.store.Restore(saved)
+	c.store.Put(standinplatform.Row{Table: platform.TableOperator, Key: "config", Value: []byte(`{"version":2,"routes":[{"name":"other","host":"h","prefix":"/","kind":"safe","service":"llm"}]}`)})
+	for _, d := range c.daemons {
+		waitUntil(t, configBound, d.settings.Host+" uses the version that was written again", func() bool { return len(d.routeTable.Load().Routes) == 1 })
+	}
+}
--- a/internal/entry/table_reader.go
+++ b/internal/entry/table_reader.go
@@ -57,6 +57,8 @@
 	// what was written after the copy was made is missing and will be written again, and what was
 	// overwritten or removed since is back.
 	restored bool
+	// era is that of the rows, see platform.Rows.
+	era int64
 	// table is the copy with the rows applied.
 	table *mirror.Mirror
 }
@@ -286,7 +288,7 @@
 	source.lapsed = !r.storeReturnedAt.IsZero() && now.Sub(r.storeReturnedAt) < lapseWindow
 	from, loaded := r.mirror.Version(), r.mirror.Loaded()
 	changes, contiguous := r.mirror.Apply(u)
-	source.table = &r.mirror
+	source.era, source.table = u.Era, &r.mirror
 	if contiguous && (len(changes) > 0 || source.restored) {
 		r.apply(changes, source)
 	}
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -67,7 +67,8 @@
 		}
 		switch v := decoded.(type) {
 		case platform.Configuration:
-			d.applyConfiguration(v, len(row.Value), source)
+			d.configuration.setListed(v.Table.Version)
+			d.applyConfiguration(v, row, source)
 		case platform.Evacuation:
 			d.applyEvacuation(v, row.Version, source)
 		}
@@ -91,17 +92,6 @@
 	d.log.Emit(e, "DataCentre", v.DataCentre, "Version", version)
 }
 
-// applyConfiguration makes a configuration current unless a newer one is in use. Its row has the
-// given size in bytes.
-func (d *Daemon) applyConfiguration(c platform.Configuration, size int, source updateSource) {
-	if old := d.routeTable.Load(); old != nil && c.Table.Version <= old.Version {
-		return
-	}
-	d.routeTable.Store(c.Table)
-	fields := []any{"Version", c.Table.Version, "Routes", len(c.Table.Routes), "Bytes", size}
-	d.log.Emit(event.ConfigurationRaised, append(fields, source.logFields(d.Clock.Now())...)...)
-}
-
 // applyTargetRows handles rows of the targets table, which hold the reports of targets.
 func (d *Daemon) applyTargetRows(changes []platform.Row, source updateSource) {
 	for _, row := range changes {
