fix(platform): don't let a condition hold for another era of the store

Callers would see: a configuration, membership view, draft or member row overwritten by a write whose condition was read before the store was restored. Shown by a test.

Cause: conditions name the version of a row. After a restore versions are given out again, so that another write of the row may have that version.

Evidence: TestConditionDoesNotSpanRestore: without the era the commit under the condition of the lost write replaces the row that has its version now.

Revisions of the product's table hold the era above the version, so that they rise across restores. A commit under conditions of an era that the client knows to be over is a Conflict and isn't sent. If the client learns of the restore by the answer, the commit is reported as one whose effect is unknown, which the callers resolve by reading back.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -216,7 +216,7 @@
 		Now:               d.Clock.Now,
 		MaxTotalBodyBytes: int64(float64(s.Limits.MemoryBytes) * bodyMemoryShare),
 	}
-	d.members = memberTable{daemon: d, lost: make(chan struct{}, 1), departed: make(chan platform.Row, departedQueueLength)}
+	d.members = memberTable{daemon: d, lost: make(chan struct{}, 1), departed: make(chan departedRow, departedQueueLength)}
 	d.createTableReaders()
 	metrics, err := metric.NewEntryInstruments(State{}.gauges(), func() []metric.Gauge { return d.State().gauges() })
 	if err != nil {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -21,7 +21,7 @@
 	lost chan struct{}
 
 	// departed receives the rows of daemons that have unregistered and are listed again.
-	departed chan platform.Row
+	departed chan departedRow
 
 	mu    sync.Mutex
 	known map[string]cluster.Member
@@ -30,6 +30,12 @@
 	unregistered bool
 }
 
+// departedRow is a row of the members table as listed in an era of the store.
+type departedRow struct {
+	row platform.Row
+	era int64
+}
+
 // departedQueueLength limits the rows that wait to be removed.
 const departedQueueLength = 64
 
@@ -43,7 +49,7 @@
 		m.known, m.left = map[string]cluster.Member{}, map[string]string{}
 	}
 	for _, row := range changes {
-		if source.restored && m.isOutdated(row) {
+		if source.restored && m.isOutdated(row, source.era) {
 			continue
 		}
 		if row.Deleted {
@@ -73,7 +79,7 @@
 // known daemon's row is missing or names another incarnation, or the daemon has unregistered since.
 // Daemons that run register again; the rows of those that have unregistered are removed again. The
 // caller holds mu.
-func (m *memberTable) isOutdated(row platform.Row) bool {
+func (m *memberTable) isOutdated(row platform.Row, era int64) bool {
 	if _, known := m.known[row.Key]; known || m.daemon.mesh.Incarnation(row.Key) != "" {
 		return true
 	}
@@ -82,7 +88,7 @@
 		return false
 	}
 	select {
-	case m.departed <- row:
+	case m.departed <- departedRow{row, era}:
 	default:
 		m.daemon.log.Emit(event.LoopFailed, "Task", "register", "Reason", "too many members to remove", "Member", row.Key)
 	}
@@ -130,15 +136,15 @@
 			return
 		case <-m.lost:
 			return
-		case row := <-m.departed:
-			m.removeRow(ctx, row)
+		case departed := <-m.departed:
+			m.removeRow(ctx, departed.row, departed.era)
 		}
 	}
 }
 
 // removeRow removes the row of another daemon, unless that has registered since. The leader does it;
 // without one, all daemons do.
-func (m *memberTable) removeRow(ctx context.Context, row platform.Row) {
+func (m *memberTable) removeRow(ctx context.Context, row platform.Row, era int64) {
 	d := m.daemon
 	if leader := d.mesh.Leader(); leader != "" && leader != d.settings.Host {
 		return
@@ -146,6 +152,8 @@
 	_, err := d.store.Commit(ctx, platform.Transaction{
 		Conditions: []platform.Condition{{Table: row.Table, Key: row.Key, Version: row.Version}},
 		Removals:   []platform.Row{row},
+		Bound:      true,
+		Era:        era,
 	})
 	if err != nil && problem.Of(err) != problem.Conflict {
 		d.log.Emit(event.LoopFailed, "Task", "register", "Reason", err.Error(), "Member", row.Key)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -4,6 +4,10 @@
 //
 // A commit that returned an error may have taken effect, unless the error is of kind Conflict.
 //
+// The platform may restore the table from an older copy, which begins a new era. What was committed
+// since the copy was made is gone. Revisions of a later era are higher than those before, and a condition
+// on a revision of an earlier era doesn't hold.
+//
 // # Usage
 //
 //	row, found, err := table.Get(ctx, "config/head")
@@ -18,6 +22,8 @@
 	// Revision increases with every write of the row and is never 0.
 	Revision uint64
 	Value    []byte
+	// Era counts how often the table was restored, at the time of the read.
+	Era uint64
 }
 
 // Condition holds if the row has the revision; revision 0 means that there is no row.
@@ -62,7 +68,7 @@
 	// Commit applies the transaction and returns the revision of the written rows. Kind
 	// Conflict means that a condition didn't hold and nothing was written.
 	Commit(ctx context.Context, tx Transaction) (uint64, error)
-	// Get returns one row and whether it exists.
+	// Get returns one row and whether it exists; if it doesn't, the row has the Era only.
 	Get(ctx context.Context, key string) (Row, bool, error)
 	// Scan returns up to limit rows, ordered by key, whose keys start with prefix and sort
 	// after the key in after; an empty after excludes none.
