fix(registry): commit changes again that a restored table lacks

Operators would see: changes of the product's own configuration, confirmed, in force on the daemons and unknown to those that start later; and changes that are confirmed after the restore and never in force, since their versions had been used.

Cause: a head below the configuration in force was taken for a stale read. The next change was committed on top of it, under a version that all daemons had already.

A daemon that sees a newer era compares its changes with those of the table by their IDs. The IDs of the changes are written too, so that a repeated submission isn't applied twice. Within an era a lower head is a stale read as before.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -4,7 +4,8 @@
 // The configuration version never decreases. Changes are rows of the platform's table,
 // each appended by a transaction that is conditional on the head row, which holds the
 // newest version. A daemon receives changes from the table or from other daemons, and
-// ignores a lower version from either. Orders are those of package datacentre, not the
+// ignores a lower version from either. If the table was restored from an older copy, the daemons that
+// know later changes commit them again. Orders are those of package datacentre, not the
 // administrative commands to targets in package link.
 //
 // # Usage
@@ -81,6 +82,8 @@
 	// unsavedOrders holds the orders given here that aren't in the table yet, by ID.
 	unsavedOrders map[string]datacentre.Order
 	loaded        bool
+	// era is that of the table of which the configuration is known to be part.
+	era uint64
 }
 
 // Document returns the configuration in force.
@@ -119,6 +122,10 @@
 			return h, 0, problem.New(problem.Internal, "head row: %v", err)
 		}
 	}
+	h, row.Revision, err = r.followEra(ctx, h, row)
+	if err != nil {
+		return h, 0, err
+	}
 	version := r.Document().Version
 	if h.Version < version {
 		r.Log.Emit(event.ConfigurationStale, "Version", h.Version, "InForce", version, "Source", "table")
--- /dev/null
+++ b/internal/registry/restore.go
@@ -0,0 +1,139 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/sequoiapick/sequoiapick/internal/catalog"
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/platform"
+	"github.com/sequoiapick/sequoiapick/pkg/problem"
+)
+
+// maxWritesPerCommit is the largest number of writes in one transaction of rewrite. The table accepts
+// 100 entries.
+const maxWritesPerCommit = 90
+
+// followEra handles a restore of the table from an older copy, of which the head that was read in the
+// given row is the first sign. The table may lack changes that are in force here, and may hold others
+// that were committed since, under versions that are in use here. It returns the head and the revision
+// of its row after the table holds all of them.
+func (r *Registry) followEra(ctx context.Context, h head, row platform.Row) (head, uint64, error) {
+	r.mu.Lock()
+	restored := r.loaded && row.Era > r.era
+	own, known := r.document, append([]catalog.Change(nil), r.changes...)
+	if !r.loaded {
+		r.era = row.Era
+	}
+	r.mu.Unlock()
+	if !restored {
+		return h, row.Revision, nil
+	}
+	foreign, err := r.foreignChanges(ctx, h, own.Version, known)
+	if err != nil {
+		return h, 0, err
+	}
+	revision := row.Revision
+	if len(foreign) > 0 || h.Version < own.Version {
+		r.Log.Emit(event.ConfigurationRewritten, "Version", own.Version, "Head", h.Version, "Foreign", len(foreign), "Era", row.Era)
+		if h, revision, err = r.rewrite(ctx, h, row.Revision, own, known, foreign); err != nil {
+			return h, 0, err
+		}
+	}
+	r.mu.Lock()
+	r.era = max(r.era, row.Era)
+	r.mu.Unlock()
+	return h, revision, nil
+}
+
+// foreignChanges returns the changes of the table from the first one that differs from the known change
+// of the same version. Changes after the version are foreign only if an earlier one is.
+func (r *Registry) foreignChanges(ctx context.Context, h head, version uint64, known []catalog.Change) ([]catalog.Change, error) {
+	if len(known) == 0 || h.Version < known[0].Version {
+		return nil, nil
+	}
+	first := known[0].Version
+	rows, err := r.Table.Scan(ctx, changePrefix, changeKey(first-1), int(h.Version-first+1))
+	if err != nil {
+		return nil, err
+	}
+	var foreign []catalog.Change
+	for _, row := range rows {
+		c, err := catalog.DecodeChange(row.Value)
+		if err != nil {
+			return nil, err
+		}
+		differs := c.Version >= first && c.Version <= version && c.ID != known[c.Version-first].ID
+		if differs || len(foreign) > 0 {
+			foreign = append(foreign, c)
+		}
+	}
+	return foreign, nil
+}
+
+// rewrite commits the own configuration, with the foreign changes applied after it under new versions, as
+// a snapshot with its head. It also writes the IDs of the known changes, so that a change that is
+// submitted again isn't applied twice.
+func (r *Registry) rewrite(ctx context.Context, h head, revision uint64, own catalog.Document, known, foreign []catalog.Change) (head, uint64, error) {
+	document, renumbered := own, make([]catalog.Change, 0, len(foreign))
+	for _, c := range foreign {
+		c.Version = document.Version + 1
+		next, err := document.Apply(c)
+		if err != nil {
+			return h, 0, err
+		}
+		document, renumbered = next, append(renumbered, c)
+	}
+	accepted := append(known, renumbered...)
+	if err := r.rewriteIDs(ctx, accepted); err != nil {
+		return h, 0, err
+	}
+	next := head{
+		Version:         document.Version,
+		Snapshot:        fmt.Sprintf("%s%016d-%d", snapshotPrefix, document.Version, revision),
+		SnapshotVersion: document.Version,
+	}
+	if len(accepted) > 0 {
+		next.ChangeID = accepted[len(accepted)-1].ID
+	}
+	body, err := catalog.Encode(document)
+	if err != nil {
+		return h, 0, problem.New(problem.Internal, "snapshot: %v", err)
+	}
+	if err := r.Objects.PutObject(ctx, next.Snapshot, body); err != nil {
+		return h, 0, err
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return h, 0, problem.New(problem.Internal, "encode head: %v", err)
+	}
+	committed, err := r.Table.Commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: headKey, Revision: revision}},
+		Writes:     []platform.Write{{Key: headKey, Value: value}},
+	})
+	if err != nil {
+		return h, 0, err
+	}
+	return next, committed, r.applyFrom(nil, renumbered, "restored table")
+}
+
+// rewriteIDs writes the versions of the changes under their IDs.
+func (r *Registry) rewriteIDs(ctx context.Context, changes []catalog.Change) error {
+	for len(changes) > 0 {
+		batch := changes[:min(len(changes), maxWritesPerCommit)]
+		changes = changes[len(batch):]
+		var tx platform.Transaction
+		for _, c := range batch {
+			value, err := json.Marshal(c.Version)
+			if err != nil {
+				return problem.New(problem.Internal, "encode change ID: %v", err)
+			}
+			tx.Writes = append(tx.Writes, platform.Write{Key: changeIDPrefix + c.ID, Value: value})
+		}
+		if _, err := r.Table.Commit(ctx, tx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
