fix(registry): commit a change through a daemon that has lost ones from others only

Operators would see: 'other changes were committed first in every attempt' for a change through a daemon that started after the restore, until another daemon had committed the lost changes again.

Cause: that daemon has the lost changes from the others and read the head in the new era first, so that a lower head was a stale read to it. A change can't follow such a head.

Whoever commits a change and finds a lower head commits the lacking changes first; after a stale read the condition on the head fails, as before. The IDs are written in the same transaction, the newest 90, instead of ahead of it, so that a failed attempt writes nothing.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -103,15 +103,16 @@
 // Sync applies the newer configuration and the orders of the table, and saves the orders
 // that the table lacks.
 func (r *Registry) Sync(ctx context.Context) error {
-	if _, _, err := r.syncHead(ctx); err != nil {
+	if _, _, err := r.syncHead(ctx, false); err != nil {
 		return err
 	}
 	return r.syncOrders(ctx)
 }
 
 // syncHead applies the changes up to the table's head and returns the head and the revision
-// of its row. A head that is older than the configuration in force is logged and ignored.
-func (r *Registry) syncHead(ctx context.Context) (head, uint64, error) {
+// of its row. A head that is older than the configuration in force is logged and ignored, unless the
+// table was restored, see followEra.
+func (r *Registry) syncHead(ctx context.Context, committing bool) (head, uint64, error) {
 	row, found, err := r.Table.Get(ctx, headKey)
 	if err != nil {
 		return head{}, 0, err
@@ -122,7 +123,7 @@
 			return h, 0, problem.New(problem.Internal, "head row: %v", err)
 		}
 	}
-	h, row.Revision, err = r.followEra(ctx, h, row)
+	h, row.Revision, err = r.followEra(ctx, h, row, committing)
 	if err != nil {
 		return h, 0, err
 	}
@@ -288,7 +289,7 @@
 	if version, done, err := r.acceptedVersion(ctx, change.ID); done || err != nil {
 		return version, err
 	}
-	h, revision, err := r.syncHead(ctx)
+	h, revision, err := r.syncHead(ctx, true)
 	if err != nil {
 		return 0, err
 	}
@@ -321,7 +322,7 @@
 	if err := json.Unmarshal(row.Value, &version); err != nil {
 		return 0, false, problem.New(problem.Internal, "change ID row: %v", err)
 	}
-	_, _, err = r.syncHead(ctx)
+	_, _, err = r.syncHead(ctx, false)
 	return version, true, err
 }
 
@@ -340,7 +341,7 @@
 // conflictError returns a Conflict error that names the newest change, which was committed
 // before the given one.
 func (r *Registry) conflictError(ctx context.Context, change catalog.Change) error {
-	h, _, err := r.syncHead(ctx)
+	h, _, err := r.syncHead(ctx, false)
 	if err != nil {
 		return err
 	}
@@ -373,15 +374,22 @@
 		key   string
 		value any
 	}{{headKey, next}, {changeKey(change.Version), change}, {changeIDPrefix + change.ID, change.Version}} {
-		value, err := json.Marshal(w.value)
-		if err != nil {
-			return tx, problem.New(problem.Internal, "encode change: %v", err)
+		if tx.Writes, err = appendWrite(tx.Writes, w.key, w.value); err != nil {
+			return tx, err
 		}
-		tx.Writes = append(tx.Writes, platform.Write{Key: w.key, Value: value})
 	}
 	return tx, nil
 }
 
+// appendWrite appends the write of a value as JSON; its error has kind Internal.
+func appendWrite(writes []platform.Write, key string, value any) ([]platform.Write, error) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return writes, problem.New(problem.Internal, "encode %s: %v", key, err)
+	}
+	return append(writes, platform.Write{Key: key, Value: encoded}), nil
+}
+
 // obsoleteRowDeletes returns the writes that delete the rows replaced by the snapshot before
 // the one of this version. Older rows were deleted together with that snapshot.
 func (r *Registry) obsoleteRowDeletes(version uint64) []platform.Write {
--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 
 	"github.com/sequoiapick/sequoiapick/internal/catalog"
@@ -11,17 +10,20 @@
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
 )
 
-// maxWritesPerCommit is the largest number of writes in one transaction of rewrite. The table accepts
-// 100 entries.
-const maxWritesPerCommit = 90
+// maxRewrittenIDs is the largest number of changes whose IDs are written again, the newest ones. They are
+// written in one transaction, of which the table accepts 100 entries.
+const maxRewrittenIDs = 90
 
 // followEra handles a restore of the table from an older copy, of which the head that was read in the
 // given row is the first sign. The table may lack changes that are in force here, and may hold others
 // that were committed since, under versions that are in use here. It returns the head and the revision
 // of its row after the table holds all of them.
-func (r *Registry) followEra(ctx context.Context, h head, row platform.Row) (head, uint64, error) {
+//
+// A head below the configuration in force may also be a stale read. If a change is about to be committed,
+// the lacking ones are committed in any case, which fails with kind Conflict after a stale read.
+func (r *Registry) followEra(ctx context.Context, h head, row platform.Row, committing bool) (head, uint64, error) {
 	r.mu.Lock()
-	restored := r.loaded && row.Era > r.era
+	restored := r.loaded && (row.Era > r.era || committing && h.Version < r.document.Version)
 	own, known := r.document, append([]catalog.Change(nil), r.changes...)
 	if !r.loaded {
 		r.era = row.Era
@@ -86,9 +88,6 @@
 		document, renumbered = next, append(renumbered, c)
 	}
 	accepted := append(known, renumbered...)
-	if err := r.rewriteIDs(ctx, accepted); err != nil {
-		return h, 0, err
-	}
 	next := head{
 		Version:         document.Version,
 		Snapshot:        fmt.Sprintf("%s%016d-%d", snapshotPrefix, document.Version, revision),
@@ -104,36 +103,18 @@
 	if err := r.Objects.PutObject(ctx, next.Snapshot, body); err != nil {
 		return h, 0, err
 	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return h, 0, problem.New(problem.Internal, "encode head: %v", err)
+	tx := platform.Transaction{Conditions: []platform.Condition{{Key: headKey, Revision: revision}}}
+	if tx.Writes, err = appendWrite(tx.Writes, headKey, next); err != nil {
+		return h, 0, err
+	}
+	for _, c := range accepted[max(len(accepted)-maxRewrittenIDs, 0):] {
+		if tx.Writes, err = appendWrite(tx.Writes, changeIDPrefix+c.ID, c.Version); err != nil {
+			return h, 0, err
+		}
 	}
-	committed, err := r.Table.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Key: headKey, Revision: revision}},
-		Writes:     []platform.Write{{Key: headKey, Value: value}},
-	})
+	committed, err := r.Table.Commit(ctx, tx)
 	if err != nil {
 		return h, 0, err
 	}
 	return next, committed, r.applyFrom(nil, renumbered, "restored table")
 }
-
-// rewriteIDs writes the versions of the changes under their IDs.
-func (r *Registry) rewriteIDs(ctx context.Context, changes []catalog.Change) error {
-	for len(changes) > 0 {
-		batch := changes[:min(len(changes), maxWritesPerCommit)]
-		changes = changes[len(batch):]
-		var tx platform.Transaction
-		for _, c := range batch {
-			value, err := json.Marshal(c.Version)
-			if err != nil {
-				return problem.New(problem.Internal, "encode change ID: %v", err)
-			}
-			tx.Writes = append(tx.Writes, platform.Write{Key: changeIDPrefix + c.ID, Value: value})
-		}
-		if _, err := r.Table.Commit(ctx, tx); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -145,3 +145,26 @@
 	expectTiers(t, "the daemon with the snapshot", known, "first", "lost")
 	expectTiers(t, "a daemon that starts later", newRegistry(), "first", "lost")
 }
+
+// TestChangeIsCommittedBeforeOthersRewriteTable submits a change through a daemon that started after the
+// restore and has the lost change from another daemon.
+func TestChangeIsCommittedBeforeOthersRewriteTable(t *testing.T) {
+	server, newRegistry := startTable(t)
+	all, late := newRegistry(), newRegistry()
+	submit(t, all, "first")
+	saved := server.Snapshot()
+	submit(t, all, "lost")
+	server.Restore(saved)
+	expectTiers(t, "the daemon that started after the restore", late, "first")
+	_, changes, err := all.ChangesSince(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := late.Apply(changes, "peer"); err != nil {
+		t.Fatal(err)
+	}
+	submit(t, late, "next")
+	for _, r := range []*registry.Registry{all, late, newRegistry()} {
+		expectTiers(t, "a daemon", r, "first", "lost", "next")
+	}
+}
