fix(daemon): write the membership again that a restored table lacks

Operators would see: daemons of one data centre with different members under one epoch, so that a cold target has two guardians, or none for those that joined in the lost seconds.

Cause: views are ordered by their epoch, which goes back with the table and is given out again.

A daemon that knows the view from the era before writes it again, with the members that have joined the table's view since and under an epoch above both, on the condition that the row hasn't changed. Departures since the restore may be undone until the host list or the next start of the host removes the member.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,13 @@
 	mu sync.Mutex
 	// views holds the newest known view by data centre.
 	views map[string]membership.View
+	// viewEra is the era of the platform's table in which the view of this data centre was last read
+	// or written; viewEraKnown is set once it was.
+	viewEra      uint64
+	viewEraKnown bool
+	// left holds the incarnations that are no longer in the view of this data centre, the oldest
+	// first.
+	left []string
 	// successions holds the successors of stopped daemons, by stopped incarnation.
 	successions map[string]succession
 	// seenMessages holds the IDs of the relayed notices and changes.
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -144,12 +145,19 @@
 		return err
 	}
 	known := d.allViews()
+	// restored is set if the table may list another view of this data centre than before, or none.
+	restored := known[d.Settings.DataCentre].Epoch > 0
 	for _, row := range rows {
 		var epoch uint64
 		if err := json.Unmarshal(row.Value, &epoch); err != nil {
 			return problem.New(problem.Internal, "epoch row: %v", err)
 		}
 		name := strings.TrimPrefix(row.Key, epochPrefix)
+		if name == d.Settings.DataCentre {
+			if restored = d.isNewEra(row.Era); restored {
+				continue
+			}
+		}
 		if epoch <= known[name].Epoch {
 			continue
 		}
@@ -160,42 +168,75 @@
 		d.adopt(view)
 	}
 	if _, ok := d.fleet.View().Member(d.incarnation); ok || d.stopping.Load() {
-		return nil
+		if !restored {
+			return nil
+		}
+		return d.changeView(ctx, func(view membership.View) (membership.View, bool) { return view, false })
 	}
 	return d.changeView(ctx, func(view membership.View) (membership.View, bool) {
 		return view.Join(d.selfMember())
 	})
 }
 
-// readView reads the view of one data centre and the revision of its row. Both are empty
-// if there is no row.
-func (d *Daemon) readView(ctx context.Context, dataCentre string) (membership.View, uint64, error) {
+// readView reads the view of one data centre and its row. The view is empty, and the row has no
+// revision, if there is none.
+func (d *Daemon) readView(ctx context.Context, dataCentre string) (membership.View, platform.Row, error) {
 	view := membership.View{DataCentre: dataCentre}
 	row, found, err := d.platform.Get(ctx, memberPrefix+dataCentre)
 	if err != nil || !found {
-		return view, 0, err
+		return view, row, err
 	}
 	if err := json.Unmarshal(row.Value, &view); err != nil {
-		return view, 0, problem.New(problem.Internal, "membership row: %v", err)
+		return view, row, problem.New(problem.Internal, "membership row: %v", err)
 	}
-	return view, row.Revision, nil
+	return view, row, nil
+}
+
+// isNewEra reports whether the table was restored since the view of this data centre was read or
+// written.
+func (d *Daemon) isNewEra(era uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.viewEraKnown && era > d.viewEra
+}
+
+// setViewEra records the era in which the view of this data centre was read or written.
+func (d *Daemon) setViewEra(era uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.viewEra, d.viewEraKnown = max(d.viewEra, era), true
+}
+
+// restoredView returns the view to write after a restore of the table.
+func (d *Daemon) restoredView(stored membership.View) membership.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.views[stored.DataCentre].Restored(stored, func(incarnation string) bool { return slices.Contains(d.left, incarnation) })
 }
 
 // changeView applies a change to the view of this data centre and writes it. If another
-// daemon writes first, it reads the row and applies the change again.
+// daemon writes first, it reads the row and applies the change again. After a restore of the table it
+// writes the newest known view, changed or not.
 func (d *Daemon) changeView(ctx context.Context, change func(membership.View) (membership.View, bool)) error {
 	for range maxViewWriteAttempts {
-		view, revision, err := d.readView(ctx, d.Settings.DataCentre)
+		view, row, err := d.readView(ctx, d.Settings.DataCentre)
 		if err != nil {
 			return err
 		}
-		d.adopt(view)
+		restored := d.isNewEra(row.Era)
+		if restored {
+			view = d.restoredView(view)
+		} else {
+			d.adopt(view)
+		}
 		next, changed := change(view)
-		if !changed {
+		if !changed && !restored {
+			d.setViewEra(row.Era)
 			return nil
 		}
-		err = d.writeView(ctx, next, revision)
+		err = d.writeView(ctx, next, row.Revision)
 		if err == nil {
+			d.setViewEra(row.Era)
 			d.adopt(next)
 			return nil
 		}
@@ -232,6 +273,9 @@
 func (d *Daemon) adopt(view membership.View) {
 	d.mu.Lock()
 	newer := view.Epoch > d.views[view.DataCentre].Epoch
+	if newer && view.DataCentre == d.Settings.DataCentre {
+		d.recordLeft(view)
+	}
 	if newer {
 		d.views[view.DataCentre] = view
 	}
@@ -246,6 +290,19 @@
 	d.signalChange()
 }
 
+// maxLeft is the number of incarnations that left the view of this data centre that are remembered.
+const maxLeft = 1024
+
+// recordLeft records the members of the known view that the next one lacks; the caller holds mu.
+func (d *Daemon) recordLeft(next membership.View) {
+	for _, m := range d.views[next.DataCentre].Members {
+		if _, ok := next.Member(m.Incarnation); !ok {
+			d.left = append(d.left, m.Incarnation)
+		}
+	}
+	d.left = d.left[max(len(d.left)-maxLeft, 0):]
+}
+
 // syncHosts reads the platform's host list. It records which targets' hosts are leaving, and
 // a poller also removes the members whose hosts are no longer listed.
 func (d *Daemon) syncHosts(ctx context.Context) error {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -120,6 +120,29 @@
 	return next, true
 }
 
+// Restored returns the view to write after the table was restored from an older copy and lists the
+// stored view: this view, which was current before, with the members that have joined the stored one
+// since. Members that had left before the restore may be listed there too. The epoch is above that of the
+// stored view if members have joined that.
+func (v View) Restored(stored View, left func(incarnation string) bool) View {
+	next := v
+	for _, m := range stored.Members {
+		if left(m.Incarnation) || v.departed(m.Incarnation) {
+			continue
+		}
+		next, _ = next.Join(m)
+	}
+	if stored.Epoch >= next.Epoch && !slices.Equal(stored.Members, next.Members) {
+		next.Epoch = stored.Epoch + 1
+	}
+	return next
+}
+
+// departed reports whether the incarnation is among the latest departures.
+func (v View) departed(incarnation string) bool {
+	return slices.ContainsFunc(v.Departed, func(d Departure) bool { return d.Incarnation == incarnation })
+}
+
 // Leave returns the view without the member and whether it changed. The member has no
 // requests in flight, so this isn't a departure. A non-empty successor is the incarnation
 // that took over the member's keys.
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -26,7 +26,8 @@
 )
 
 // Paths of the control interface. Bodies are in JSON. FaultPath takes a Fault, SetHostsPath a list of
-// platform.Host, PutPath and RemovePath a Row. CompactPath takes no body. CountPath answers with a
+// platform.Host, PutPath and RemovePath a Row. CompactPath, SavePath, which makes a copy of the state, and
+// RestorePath, which restores it, take no body. CountPath answers with a
 // Count. A body that isn't valid is answered with status 400.
 const (
 	FaultPath    = "/control/fault"
@@ -35,6 +36,8 @@
 	PutPath      = "/control/put"
 	RemovePath   = "/control/remove"
 	CompactPath  = "/control/compact"
+	SavePath     = "/control/save"
+	RestorePath  = "/control/restore"
 )
 
 // MaxBodyBytes is the largest body of a call that Server accepts.
@@ -102,6 +105,8 @@
 	changed chan struct{}
 	fault   Fault
 	count   Count
+	// saved is the copy of the last call of SavePath.
+	saved Snapshot
 }
 
 // rows holds the latest version of each row.
@@ -268,6 +273,16 @@
 		}
 	case CompactPath:
 		s.Compact()
+	case SavePath:
+		saved := s.Snapshot()
+		s.mu.Lock()
+		s.saved = saved
+		s.mu.Unlock()
+	case RestorePath:
+		s.mu.Lock()
+		saved := s.saved
+		s.mu.Unlock()
+		s.Restore(saved)
 	case CountPath:
 		s.mu.Lock()
 		count := s.count
--- /dev/null
+++ b/test/restore_test.go
@@ -0,0 +1,73 @@
+package test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	standinplatform "github.com/sequoiapick/sequoiapick/internal/standin/platform"
+	"github.com/sequoiapick/sequoiapick/pkg/operator"
+)
+
+// savePlatform makes a copy of the platform's state, restorePlatform restores it.
+func (c *cluster) savePlatform() {
+	Expect(c.callStandIn(c.platformAddress, standinplatform.SavePath, nil, nil)).To(Succeed())
+}
+
+func (c *cluster) restorePlatform() {
+	Expect(c.callStandIn(c.platformAddress, standinplatform.RestorePath, nil, nil)).To(Succeed())
+}
+
+// epoch returns the epoch of the membership that a daemon uses, 0 if it doesn't answer.
+func (c *cluster) epoch(d *daemonProcess) uint64 {
+	var epoch uint64
+	_ = c.operate(d, func(ctx context.Context, client operator.OperatorClient) error {
+		reply, err := client.Status(ctx, &operator.StatusRequest{})
+		if err == nil {
+			epoch = reply.GetDaemons()[0].GetEpoch()
+		}
+		return err
+	})
+	return epoch
+}
+
+// addTier adds a tier to the configuration and returns its version.
+func (c *cluster) addTier(d *daemonProcess, name string) uint64 {
+	return c.apply(d, &operator.ApplyRequest{Tiers: []*operator.Tier{{Name: name, DeadlineMillis: 1000}}})
+}
+
+var _ = Describe("a restore of the platform's table from an older copy", func() {
+	It("loses no confirmed change, and daemons that start before and after it agree on the members", func() {
+		c := newCluster(2, []string{"ga-a"})
+		c.awaitVersion(c.addTier(c.daemons[0], "first"))
+		c.savePlatform()
+		restarted := c.daemons[1]
+		restarted.kill()
+		restarted.start()
+		c.awaitReady(restarted)
+		lost := c.addTier(c.daemons[0], "lost")
+		c.awaitVersion(lost)
+		epoch := c.epoch(restarted)
+		Eventually(func() uint64 { return c.epoch(c.daemons[0]) }, 9*time.Second, 20*time.Millisecond).Should(BeNumerically(">=", epoch))
+		c.restorePlatform()
+		late := c.addDaemon("ga-a-entry-9", "ga-a", "127.1.1.9")
+		c.listHosts()
+		late.start()
+		c.awaitReady(late)
+		c.awaitVersion(lost)
+		next := c.addTier(late, "next")
+		Expect(next).To(BeNumerically(">", lost))
+		c.awaitVersion(next)
+		Eventually(func() bool {
+			agreed := c.epoch(late)
+			for _, d := range c.daemons {
+				if c.epoch(d) != agreed {
+					return false
+				}
+			}
+			return agreed > epoch
+		}, 9*time.Second, 50*time.Millisecond).Should(BeTrue(), "the daemons use different epochs of the membership")
+	})
+})
