fix(claim): write claims again that a restored table lacks, and wait for their owners

Cause: a key is claimed by a row that must not exist. The restored table lacks the newest rows, so that the same key can be claimed again.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -94,12 +94,17 @@
 	Forwarder   Forwarder
 	Clock       clockwork.Clock
 	Log         event.Log
+	// RestoreWait is the time after a restore of the table for which no key is claimed, within which
+	// the owners of lost claims have written them again.
+	RestoreWait time.Duration
 
 	mu sync.Mutex
 	// keys is guarded by mu.
 	keys idempotency.DedupTable
 	// saves counts the outcomes that are being saved.
 	saves sync.WaitGroup
+	// restores is guarded by mu.
+	restores restores
 }
 
 // Open sets the incarnation and the start time of the deduplication table.
@@ -246,11 +251,29 @@
 		Conditions: []platform.Condition{{Key: rowKey(s.ID)}},
 		Writes:     []platform.Write{{Key: rowKey(s.ID), Value: value}},
 	})
-	if err == nil {
-		d.Log.Emit(event.KeyClaimed, "Request", s.RequestID, "Account", s.ID.Account)
-		return outcome, false
+	if err != nil {
+		if outcome, done := d.resolveClaim(ctx, s, nonce); done {
+			return outcome, true
+		}
+	}
+	if d.awaitsOwners() {
+		return d.failUnverified(s), true
 	}
-	return d.resolveClaim(ctx, s, nonce)
+	d.mu.Lock()
+	d.keys.MarkClaimed(s.ID)
+	d.mu.Unlock()
+	d.Log.Emit(event.KeyClaimed, "Request", s.RequestID, "Account", s.ID.Account)
+	return outcome, false
+}
+
+// failUnverified ends a request that sent nothing, since whether its key was used can't be looked up.
+func (d *Deduplicator) failUnverified(s Submission) idempotency.Outcome {
+	outcome := failed(problem.KeyUnverified, "this request sent nothing; whether an earlier one with this key ran can't be looked up now")
+	outcome.Rerunnable = true
+	outcome.SentNothing = true
+	d.finish(s.ID, outcome)
+	d.Log.Emit(event.KeyUnverified, "Request", s.RequestID, "Account", s.ID.Account)
+	return outcome
 }
 
 // resolveClaim reads the claim back after a commit that failed or whose reply was lost. If it is
@@ -260,12 +283,7 @@
 func (d *Deduplicator) resolveClaim(ctx context.Context, s Submission, nonce string) (idempotency.Outcome, bool) {
 	found, known, err := d.read(ctx, s.ID)
 	if err != nil || !known {
-		outcome := failed(problem.KeyUnverified, "this request sent nothing; whether an earlier one with this key ran can't be looked up now")
-		outcome.Rerunnable = true
-		outcome.SentNothing = true
-		d.finish(s.ID, outcome)
-		d.Log.Emit(event.KeyUnverified, "Request", s.RequestID, "Account", s.ID.Account)
-		return outcome, true
+		return d.failUnverified(s), true
 	}
 	if found.Nonce == nonce {
 		return idempotency.Outcome{}, false
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -146,6 +146,7 @@
 		Forwarder:   d,
 		Clock:       d.Clock,
 		Log:         d.log,
+		RestoreWait: (backupPollIntervals + 2) * d.Settings.Timing.Poll,
 	}
 	d.drafts = &draft.Store{
 		Table:       d.platform,
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -78,6 +78,7 @@
 	ConfigurationRewritten = Event{607, "ConfigurationRewritten", "the platform's table was restored from an older copy and lacks changes of the configuration, which this daemon commits again"}
 	KeyClaimed             = Event{700, "KeyClaimed", "an idempotency key was claimed in the platform's table"}
 	KeyForwarded           = Event{701, "KeyForwarded", "a request with an idempotency key was forwarded to the daemon that owns the key"}
+	ClaimsRewritten        = Event{705, "ClaimsRewritten", "the platform's table was restored from an older copy; this daemon wrote its claims of idempotency keys again"}
 	KeyUnverified          = Event{702, "KeyUnverified", "the earlier use of an idempotency key can't be looked up in the platform's table"}
 	KeysHandedOver         = Event{703, "KeysHandedOver", "idempotency keys and stored answers were handed over to the successor of this daemon"}
 	KeysInherited          = Event{704, "KeysInherited", "this daemon took over idempotency keys and stored answers of a stopped daemon"}
@@ -102,7 +103,7 @@
 		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected, LinkLost, LeaderChanged, MemberLearned,
 		DataCentreCut, DataCentreReached,
 		ConfigurationRaised, ConfigurationStale, DataCentreOut, DataCentreIn, TableRequested,
-		StoreRestored, DataCentreOutLapsed, ConfigurationRewritten, KeyClaimed, KeyForwarded, KeyUnverified, KeysHandedOver, KeysInherited,
+		StoreRestored, DataCentreOutLapsed, ConfigurationRewritten, KeyClaimed, KeyForwarded, KeyUnverified, KeysHandedOver, KeysInherited, ClaimsRewritten,
 		DraftAccepted, DraftTakenOver, DraftFinished,
 		OrderSent, OrderRefused,
 	}
--- a/internal/idempotency/idempotency.go
+++ b/internal/idempotency/idempotency.go
@@ -117,8 +117,10 @@
 	nonce       string
 	clean       bool
 	fingerprint uint64
-	running     bool
-	outcome     Outcome
+	// claimed is set once the key is known to be claimed for this incarnation.
+	claimed bool
+	running bool
+	outcome Outcome
 	// ended is the time at which the last run ended, or at which the entry was inherited.
 	ended time.Time
 	// done is closed when the run has ended.
@@ -267,6 +269,30 @@
 	}
 }
 
+// MarkClaimed records that a key for which Begin returned Run is claimed for this incarnation.
+func (t *DedupTable) MarkClaimed(id ID) {
+	if e, ok := t.entries[id]; ok {
+		e.claimed = true
+	}
+}
+
+// Claimed returns the claimed keys whose requests run or have ended, without those that may run again.
+// The outcome of a key that is running is unknown.
+func (t *DedupTable) Claimed() []Entry {
+	var claimed []Entry
+	for id, e := range t.entries {
+		if !e.claimed || !e.running && e.outcome.Failure != "" && e.outcome.Rerunnable {
+			continue
+		}
+		entry := Entry{ID: id, Nonce: e.nonce, Clean: e.clean, Fingerprint: e.fingerprint, Outcome: e.outcome}
+		if e.running {
+			entry.Outcome = Outcome{Failure: problem.OutcomeUnknown, Detail: "the request is still running"}
+		}
+		claimed = append(claimed, entry)
+	}
+	return claimed
+}
+
 // Running returns the number of keys whose requests are running.
 func (t *DedupTable) Running() int {
 	n := 0
@@ -313,7 +339,8 @@
 		}
 		done := make(chan struct{})
 		close(done)
-		t.entries[e.ID] = &entry{nonce: e.Nonce, clean: e.Clean, fingerprint: e.Fingerprint, outcome: e.Outcome, ended: now, done: done}
+		_, ticket := TicketOwner(e.ID.Key)
+		t.entries[e.ID] = &entry{nonce: e.Nonce, clean: e.Clean, fingerprint: e.Fingerprint, claimed: !ticket, outcome: e.Outcome, ended: now, done: done}
 	}
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -73,6 +73,8 @@
 	// Scan returns up to limit rows, ordered by key, whose keys start with prefix and sort
 	// after the key in after; an empty after excludes none.
 	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Era returns the highest era of an answer so far, and false if there was no answer.
+	Era() (era uint64, known bool)
 }
 
 // Objects is the object store.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -33,6 +33,8 @@
 	return nil, nil
 }
 
+func (t *risingTable) Era() (uint64, bool) { return 0, true }
+
 func (t *risingTable) Commit(context.Context, platform.Transaction) (uint64, error) {
 	return 0, nil
 }
@@ -112,6 +114,8 @@
 	return rows, nil
 }
 
+func (s storedTable) Era() (uint64, bool) { return 0, true }
+
 func (s storedTable) Commit(context.Context, platform.Transaction) (uint64, error) { return 0, nil }
 
 func (s storedTable) GetObject(context.Context, string) ([]byte, bool, error) {
