--- a/test/restore_test.go
+++ b/test/restore_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sequoiapick/sequoiapick/internal/caller"
 	standinplatform "github.com/sequoiapick/sequoiapick/internal/standin/platform"
 	"github.com/sequoiapick/sequoiapick/pkg/operator"
 )
@@ -33,6 +35,11 @@
 	return epoch
 }
 
+// submitKey sends a request that must run at most once, under a key.
+func (c *cluster) submitKey(d *daemonProcess, key string) answer {
+	return c.run(d, "restock", key, caller.RunBody{Tier: "now", Input: "key " + key})
+}
+
 // addTier adds a tier to the configuration and returns its version.
 func (c *cluster) addTier(d *daemonProcess, name string) uint64 {
 	return c.apply(d, &operator.ApplyRequest{Tiers: []*operator.Tier{{Name: name, DeadlineMillis: 1000}}})
@@ -70,4 +77,46 @@
 			return agreed > epoch
 		}, 9*time.Second, 50*time.Millisecond).Should(BeTrue(), "the daemons use different epochs of the membership")
 	})
+
+	It("runs a key once whose claim was lost", func() {
+		c := newCluster(2, []string{"ga-a"})
+		c.awaitVersion(c.apply(c.daemons[0], testConfiguration(addTargetsOfEachKind(c, []string{"ga-a"})...)))
+		c.savePlatform()
+		Expect(c.submitKey(c.daemons[0], "k").Status).To(Equal(200))
+		c.restorePlatform()
+		c.submitKey(c.daemons[1], "k")
+		Eventually(func() int { return c.submitKey(c.daemons[1], "k").Status }, 20*time.Second, 200*time.Millisecond).Should(Equal(200))
+		Expect(executions(c)["k"]).To(Equal(1))
+	})
+
+	It("runs a key once whose claim was lost at a daemon that starts later", func() {
+		c := newCluster(2, []string{"ga-a"})
+		c.awaitVersion(c.apply(c.daemons[0], testConfiguration(addTargetsOfEachKind(c, []string{"ga-a"})...)))
+		c.savePlatform()
+		owner := c.daemons[0]
+		Expect(c.submitKey(owner, "k").Status).To(Equal(200))
+		// The owner writes its claim again only after the other daemon was asked.
+		owner.signal(syscall.SIGSTOP)
+		defer owner.signal(syscall.SIGCONT)
+		c.restorePlatform()
+		late := c.addDaemon("ga-a-entry-9", "ga-a", "127.1.1.9")
+		c.listHosts()
+		late.start()
+		c.awaitReady(late)
+		c.submitKey(late, "k")
+		Expect(executions(c)["k"]).To(Equal(1))
+	})
+
+	It("finishes drafts that were accepted in the lost seconds", func() {
+		c := newCluster(2, []string{"ga-a"})
+		c.awaitVersion(c.apply(c.daemons[0], testConfiguration(addTargetsOfEachKind(c, []string{"ga-a"})...)))
+		c.savePlatform()
+		draft := c.run(c.daemons[0], "quote-draft", "", caller.RunBody{Tier: "later", Input: "draft", Async: true})
+		Expect(draft.Status).To(Equal(202), string(draft.Raw))
+		c.restorePlatform()
+		Eventually(func() int {
+			status, _ := c.get(c.daemons[0], "front-desk", "/v1/requests/"+draft.RequestID)
+			return status
+		}, 20*time.Second, 200*time.Millisecond).Should(Equal(200))
+	})
 })
