--- a/internal/claim/restore.go
+++ b/internal/claim/restore.go
@@ -75,6 +75,7 @@
 // hold answers of up to maxRowBodyBytes.
 const maxClaimsPerCommit = 8
 
+// rewriteBatch writes the rows of claimed keys in one transaction.
 func (d *Deduplicator) rewriteBatch(ctx context.Context, batch []idempotency.Entry) error {
 	var tx platform.Transaction
 	for _, e := range batch {
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -195,28 +194,6 @@
 	return view, row, nil
 }
 
-// isNewEra reports whether the table was restored since the view of this data centre was read or
-// written.
-func (d *Daemon) isNewEra(era uint64) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.viewEraKnown && era > d.viewEra
-}
-
-// setViewEra records the era in which the view of this data centre was read or written.
-func (d *Daemon) setViewEra(era uint64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.viewEra, d.viewEraKnown = max(d.viewEra, era), true
-}
-
-// restoredView returns the view to write after a restore of the table.
-func (d *Daemon) restoredView(stored membership.View) membership.View {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.views[stored.DataCentre].Restored(stored, func(incarnation string) bool { return slices.Contains(d.left, incarnation) })
-}
-
 // changeView applies a change to the view of this data centre and writes it. If another
 // daemon writes first, it reads the row and applies the change again. After a restore of the table it
 // writes the newest known view, changed or not.
@@ -293,19 +270,6 @@
 	d.signalChange()
 }
 
-// maxLeft is the number of incarnations that left the view of this data centre that are remembered.
-const maxLeft = 1024
-
-// recordLeft records the members of the known view that the next one lacks; the caller holds mu.
-func (d *Daemon) recordLeft(next membership.View) {
-	for _, m := range d.views[next.DataCentre].Members {
-		if _, ok := next.Member(m.Incarnation); !ok {
-			d.left = append(d.left, m.Incarnation)
-		}
-	}
-	d.left = d.left[max(len(d.left)-maxLeft, 0):]
-}
-
 // syncHosts reads the platform's host list. It records which targets' hosts are leaving, and
 // a poller also removes the members whose hosts are no longer listed.
 func (d *Daemon) syncHosts(ctx context.Context) error {
--- a/internal/entry/table_reader.go
+++ b/internal/entry/table_reader.go
@@ -175,10 +175,7 @@
 	d := r.daemon
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.mirror.Loaded() {
-		return 0
-	}
-	if r.fullReadRequired {
+	if !r.mirror.Loaded() || r.fullReadRequired {
 		return 0
 	}
 	if r.announced.era > r.mirror.Era() {
@@ -250,18 +247,8 @@
 		u.ReadAt = waited
 	}
 	u.Era, u.ToVersion, u.Rows = rows.Era, rows.Version, rows.Rows
-	r.mu.Lock()
-	loaded, era := r.mirror.Loaded(), r.mirror.Era()
-	r.fullReadRequired = false
-	r.mu.Unlock()
-	switch {
-	case loaded && u.Era < era:
-		return problem.New(problem.Unavailable, "store: the answer is of era %d, the copy of era %d", u.Era, era)
-	case loaded && u.Era > era:
-		d.announceEra(u.Era, "")
-	}
-	if loaded && u.Era > era && !u.Full {
-		return nil // these are the changes after a version of another era; the whole table is read next
+	if usable, err := r.checkEra(u); !usable {
+		return err
 	}
 	bases := r.baseRows(rows.Rows)
 	if relay, _ := r.applyUpdate(u, updateSource{readAt: u.ReadAt}); relay != nil {
@@ -270,6 +257,25 @@
 	return nil
 }
 
+// checkEra handles the era of an answer of the store. The answer isn't usable if the copy is of a newer
+// era, or if it holds changes after a version of the copy's era in another one; the whole table is read
+// next then.
+func (r *tableReader) checkEra(u mirror.Update) (usable bool, err error) {
+	r.mu.Lock()
+	loaded, era := r.mirror.Loaded(), r.mirror.Era()
+	r.fullReadRequired = false
+	r.mu.Unlock()
+	switch {
+	case !loaded || u.Era == era:
+		return true, nil
+	case u.Era < era:
+		return false, problem.New(problem.Unavailable, "store: the answer is of era %d, the copy of era %d", u.Era, era)
+	default:
+		r.daemon.announceEra(u.Era, "")
+		return u.Full, nil
+	}
+}
+
 // applyUpdate applies an update to the copy; contiguous is that of mirror.Mirror.Apply. It
 // returns the update to relay to the other daemons, or nil if the copy was empty before or the
 // update isn't contiguous. The relayed update holds only changes; a daemon without a copy requests
@@ -296,7 +302,7 @@
 		relay = &mirror.Update{Era: r.mirror.Era(), FromVersion: from, ToVersion: r.mirror.Version(), Rows: changes, ReadAt: u.ReadAt}
 	}
 	if source.restored {
-		relay = &mirror.Update{Era: u.Era, ReadAt: u.ReadAt}
+		relay = &mirror.Update{Era: u.Era}
 	}
 	// The filter records the rows of every update, also of those that other daemons have relayed.
 	if r.table == platform.TableTargets {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -18,6 +18,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http/httputil"
@@ -297,7 +298,7 @@
 		return err
 	}
 	if err := c.pool.confirmListening(ctx, c.Address, c.share); err != nil {
-		return errors.Join(io.ErrUnexpectedEOF, err)
+		return fmt.Errorf("%w: the target accepts no connection: %v", io.ErrUnexpectedEOF, err)
 	}
 	return nil
 }
@@ -315,7 +316,7 @@
 	case err := <-c.bodySent:
 		c.bodySent <- err // for releaseAfterSend
 		if err != nil {
-			return io.ErrUnexpectedEOF
+			return fmt.Errorf("%w: the request body was not sent: %v", io.ErrUnexpectedEOF, err)
 		}
 	case <-timer.C:
 	}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -128,6 +128,7 @@
 func (inv *Inventory) ApplyReport(r platform.TargetReport) {
 	inv.mu.Lock()
 	defer inv.mu.Unlock()
+	delete(inv.ended, startID{r.ID, r.StartUnixMillis})
 	inv.applyReport(r)
 }
 
