test(soak): restore the store from an older copy

The soak had no restore of the store. A copy is made at a random moment and restored up to 3 s later, beside the other faults; servers report again with the next heartbeat, the operator writes the configuration again after 200 ms and takes evacuations back.

--- a/test/entry/soak_test.go
+++ b/test/entry/soak_test.go
@@ -130,6 +130,7 @@
 			s.record("store drops its history")
 			f.store.Compact()
 		},
+		s.restoreStore,
 		func() {
 			server := f.servers[s.random.IntN(len(f.servers))]
 			faults := []service.Fault{{Lose: 4}, {Truncate: 4}, {Extra: 4}, {CutEvent: 4}, {Shed: 6}, {Hang: 3}}
@@ -165,6 +166,23 @@
 	}
 }
 
+// restoreStore makes a copy of the store and restores it later. The servers write their reports again
+// with the next heartbeat, the operator its rows after a while.
+func (s *soak) restoreStore() {
+	f := s.fleet
+	saved := f.store.Snapshot()
+	s.record("copy of the store")
+	s.endAfter(s.randomDuration(200*time.Millisecond, 3*time.Second), func() {
+		s.record("store is restored")
+		f.store.Restore(saved)
+		time.Sleep(200 * time.Millisecond)
+		f.configure()
+		for _, dataCentre := range dataCentres {
+			f.store.Remove("op", "evacuate/"+dataCentre)
+		}
+	})
+}
+
 // killDaemon kills a daemon and starts it again after a while.
 func (s *soak) killDaemon() {
 	d := s.reserveDaemon()
