--- a/test/ablation/run.sh
+++ b/test/ablation/run.sh
@@ -26,6 +26,10 @@
   echo "$name: the test passes although its mechanism is disabled"
   exit 1
 fi
+if grep -q 'build failed' "$copy/out"; then
+  echo "$name: the patched code doesn't compile"
+  exit 1
+fi
 echo "$name: the test fails if its mechanism is disabled, seeds $seeds:"
 grep -A2 -E '\[FAILED\] |^ +[a-z_]+_test.go:' "$copy/out" | grep -vE '^--|FAILED\] in \[|logs of' | head -12 || true
 grep -E '^  submissions' "$copy/out" || true
