fix(draft): write drafts again that a restored table lacks

Cause: rows and objects of drafts that were written since the copy are gone, or open again. The owner's outcome was dropped, since its row had another revision, which means that another daemon has taken the draft over.

Evidence: 'finishes drafts that were accepted in the lost seconds' was known red; it and 'keeps the answers of drafts that ended in the lost seconds, and doesn't run them again' fail without the rewriting (20 s without an answer; the state Running after Answered).

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -256,7 +256,7 @@
 			return outcome, true
 		}
 	}
-	if d.awaitsOwners() {
+	if d.AwaitsOwners() {
 		return d.failUnverified(s), true
 	}
 	d.mu.Lock()
--- a/internal/claim/restore.go
+++ b/internal/claim/restore.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// awaitsOwners reports whether the table was restored less than RestoreWait ago.
-func (d *Deduplicator) awaitsOwners() bool {
+// AwaitsOwners reports whether the table was restored less than RestoreWait ago.
+func (d *Deduplicator) AwaitsOwners() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.observe()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -153,6 +153,7 @@
 		Objects:     d.platform,
 		Incarnation: d.incarnation,
 		DataCentre:  d.Settings.DataCentre,
+		Clock:       d.Clock,
 	}
 }
 
--- a/internal/daemon/drafts.go
+++ b/internal/daemon/drafts.go
@@ -193,10 +193,11 @@
 	}
 }
 
-// recoverDrafts takes over drafts that their owners no longer run. The polling daemons of a
+// recoverDrafts takes over drafts that their owners no longer run. After a restore of the table it waits
+// until the owners have written their drafts again: the rows of older owners may be back. The polling daemons of a
 // data centre check the drafts of every data centre, since all daemons of one may fail.
 func (d *Daemon) recoverDrafts(ctx context.Context) error {
-	if !d.isPoller() || !d.ready.Load() {
+	if !d.isPoller() || !d.ready.Load() || d.deduplicator.AwaitsOwners() {
 		return nil
 	}
 	after := ""
@@ -245,7 +246,7 @@
 		return
 	}
 	former := record.Owner
-	taken, err := d.drafts.TakeOver(ctx, record)
+	taken, err := d.drafts.TakeOver(ctx, record, input)
 	if err != nil {
 		return
 	}
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -158,6 +158,7 @@
 	d.tasks.start(ctx, "sweep", d.runEvery(expiryInterval, "sweep", d.expireEntries))
 	d.tasks.start(ctx, "pause", d.detectPauses)
 	d.tasks.start(ctx, "claims", d.runEvery(claimCheckInterval, "claims", d.deduplicator.RewriteClaims))
+	d.tasks.start(ctx, "own drafts", d.runEvery(claimCheckInterval, "own drafts", d.drafts.Rewrite))
 	d.tasks.start(ctx, "drafts", d.runEvery(recoveryInterval, "drafts", d.recoverDrafts))
 	return nil
 }
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -30,7 +30,7 @@
 	// expiryInterval is the time between two calls of expireEntries.
 	expiryInterval = 10 * time.Second
 	// claimCheckInterval is the time between two checks for a restore of the platform's table, after
-	// which the claims of this daemon are written again.
+	// which the claims and drafts of this daemon are written again.
 	claimCheckInterval = 250 * time.Millisecond
 	// pauseCheckInterval is the time between two checks of detectPauses.
 	pauseCheckInterval = 250 * time.Millisecond
--- a/internal/draft/draft.go
+++ b/internal/draft/draft.go
@@ -21,6 +21,8 @@
 	"slices"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/sequoiapick/sequoiapick/internal/idempotency"
 	"github.com/sequoiapick/sequoiapick/internal/platform"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
@@ -75,6 +77,9 @@
 	Objects     platform.Objects
 	Incarnation string
 	DataCentre  string
+	Clock       clockwork.Clock
+
+	own ownDrafts
 }
 
 // Accept stores a draft in one transaction with the conditions and writes of extra. If a draft
@@ -97,6 +102,7 @@
 	})
 	r.revision = revision
 	if err == nil {
+		s.own.keep(r, input, extra.Writes)
 		return r, nil
 	}
 	stored, _, found, readErr := s.Read(ctx, r.ID)
@@ -106,6 +112,7 @@
 	case readErr != nil || !found:
 		return r, problem.New(problem.Unavailable, "whether the draft was accepted is unknown: %v", err)
 	case stored.Owner == r.Owner && stored.Accepted.Equal(r.Accepted):
+		s.own.keep(stored, input, extra.Writes)
 		return stored, nil
 	default:
 		return stored, problem.New(problem.Conflict, "draft %q exists", r.ID)
@@ -145,13 +152,18 @@
 	return records, nil
 }
 
-// TakeOver makes this daemon the owner of the draft. Kind Conflict means that the draft has
+// TakeOver makes this daemon the owner of the draft with the input. Kind Conflict means that the draft has
 // changed meanwhile, for example because another daemon has taken it over.
-func (s *Store) TakeOver(ctx context.Context, r Record) (Record, error) {
+func (s *Store) TakeOver(ctx context.Context, r Record, input []byte) (Record, error) {
+	s.own.drop(r.ID) // from an earlier time as the owner
 	r.Owner = s.Incarnation
 	r.OwnerDataCentre = s.DataCentre
 	r.Takeovers++
-	return s.update(ctx, r)
+	taken, err := s.update(ctx, r)
+	if err == nil {
+		s.own.keep(taken, input, nil)
+	}
+	return taken, err
 }
 
 // update writes the row if its revision is unchanged. If the reply is lost, it reads the row
@@ -161,12 +173,10 @@
 	if err != nil {
 		return r, err
 	}
-	revision, err := s.Table.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Key: openPrefix + r.ID, Revision: r.revision}},
-		Writes:     []platform.Write{{Key: openPrefix + r.ID, Value: value}},
-	})
+	revision, err := s.commitOpen(ctx, r, platform.Write{Key: openPrefix + r.ID, Value: value})
 	if err == nil {
 		r.revision = revision
+		s.own.update(r)
 		return r, nil
 	}
 	if problem.Of(err) == problem.Conflict {
@@ -179,6 +189,25 @@
 	return r, err
 }
 
+// commitOpen commits writes if the row of an open draft is unchanged. Kind Conflict means that it isn't,
+// also after a restore of the table.
+func (s *Store) commitOpen(ctx context.Context, r Record, writes ...platform.Write) (uint64, error) {
+	for {
+		condition := platform.Condition{Key: openPrefix + r.ID, Revision: s.own.revision(r)}
+		revision, err := s.Table.Commit(ctx, platform.Transaction{Conditions: []platform.Condition{condition}, Writes: writes})
+		if problem.Of(err) != problem.Conflict {
+			return revision, err
+		}
+		if err := s.Rewrite(ctx); err != nil {
+			return 0, err
+		}
+		if s.own.revision(r) == condition.Revision {
+			s.own.drop(r.ID)
+			return 0, err
+		}
+	}
+}
+
 // Input returns the input of the draft.
 func (s *Store) Input(ctx context.Context, id string) ([]byte, error) {
 	body, found, err := s.Objects.GetObject(ctx, objectPrefix+id+"/input")
@@ -218,13 +247,12 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.Table.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Key: openPrefix + r.ID, Revision: r.revision}},
-		Writes: []platform.Write{
-			{Key: openPrefix + r.ID, Delete: true},
-			{Key: donePrefix + r.ID, Value: value},
-		},
-	})
+	_, err = s.commitOpen(ctx, r,
+		platform.Write{Key: openPrefix + r.ID, Delete: true},
+		platform.Write{Key: donePrefix + r.ID, Value: value})
+	if err == nil {
+		s.own.finish(r, outcome.Body, s.Clock.Now())
+	}
 	return err
 }
 
--- a/test/restore_test.go
+++ b/test/restore_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sequoiapick/sequoiapick/internal/caller"
 	standinplatform "github.com/sequoiapick/sequoiapick/internal/standin/platform"
+	standintarget "github.com/sequoiapick/sequoiapick/internal/standin/target"
 	"github.com/sequoiapick/sequoiapick/pkg/operator"
 )
 
@@ -40,6 +41,16 @@
 	return c.run(d, "restock", key, caller.RunBody{Tier: "now", Input: "key " + key})
 }
 
+// awaitAnswer waits until every daemon reports that an asynchronous request has its answer.
+func (c *cluster) awaitAnswer(request string) {
+	for _, d := range c.daemons {
+		Eventually(func() string {
+			_, body := c.get(d, "front-desk", "/v1/requests/"+request)
+			return body
+		}, 20*time.Second, 50*time.Millisecond).Should(ContainSubstring(`"State":"Answered"`), d.host)
+	}
+}
+
 // addTier adds a tier to the configuration and returns its version.
 func (c *cluster) addTier(d *daemonProcess, name string) uint64 {
 	return c.apply(d, &operator.ApplyRequest{Tiers: []*operator.Tier{{Name: name, DeadlineMillis: 1000}}})
@@ -111,12 +122,31 @@
 		c := newCluster(2, []string{"ga-a"})
 		c.awaitVersion(c.apply(c.daemons[0], testConfiguration(addTargetsOfEachKind(c, []string{"ga-a"})...)))
 		c.savePlatform()
-		draft := c.run(c.daemons[0], "quote-draft", "", caller.RunBody{Tier: "later", Input: "draft", Async: true})
+		draft := c.run(c.daemons[0], "restock", "k", caller.RunBody{Tier: "later", Input: "key k", Async: true})
 		Expect(draft.Status).To(Equal(202), string(draft.Raw))
 		c.restorePlatform()
-		Eventually(func() int {
-			status, _ := c.get(c.daemons[0], "front-desk", "/v1/requests/"+draft.RequestID)
-			return status
-		}, 20*time.Second, 200*time.Millisecond).Should(Equal(200))
+		c.awaitAnswer(draft.RequestID)
+		Expect(executions(c)["k"]).To(Equal(1))
+		again := c.run(c.daemons[1], "restock", "k", caller.RunBody{Tier: "later", Input: "key k", Async: true})
+		Expect(again.RequestID).To(Equal(draft.RequestID))
+		Expect(executions(c)["k"]).To(Equal(1))
+	})
+
+	It("keeps the answers of drafts that ended in the lost seconds, and doesn't run them again", func() {
+		c := newCluster(2, []string{"ga-a"})
+		c.awaitVersion(c.apply(c.daemons[0], testConfiguration(addTargetsOfEachKind(c, []string{"ga-a"})...)))
+		for name := range c.targets {
+			c.setTargetFault(name, standintarget.Fault{SlowFactor: 30})
+		}
+		draft := c.run(c.daemons[0], "restock", "k", caller.RunBody{Tier: "later", Input: "key k", Async: true})
+		Expect(draft.Status).To(Equal(202), string(draft.Raw))
+		c.savePlatform()
+		for name := range c.targets {
+			c.setTargetFault(name, standintarget.Fault{SlowFactor: 1})
+		}
+		c.awaitAnswer(draft.RequestID)
+		c.restorePlatform()
+		c.awaitAnswer(draft.RequestID)
+		Consistently(func() int { return executions(c)["k"] }, 3*time.Second, 100*time.Millisecond).Should(Equal(1))
 	})
 })
