--- a/test/ablation/run.sh
+++ b/test/ablation/run.sh
@@ -2,7 +2,8 @@
 # Ablation test: checks that a test fails if the mechanism that it tests is disabled. Applies
 # test/ablation/NAME.patch, which disables the mechanism, to a copy of HEAD and runs the test there.
 # The lines "proof:" and "package:" of the patch hold the name of the test, as a regular expression,
-# and its package, by default ./test. Exits with 0 if the test fails and with 1 if it passes.
+# and its package, by default ./test. Exits with 0 if the test fails and with 1 if it passes or the code doesn't
+# compile.
 # SEEDS are the seeds of specs with random faults, separated by spaces, by default "1 2".
 # usage: test/ablation/run.sh NAME [SEEDS]
 set -euo pipefail
