--- a/internal/claim/restore_test.go
+++ b/internal/claim/restore_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -41,23 +40,17 @@
 
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c := &cluster{store: &standin.Server{}, clock: clockwork.NewFakeClock()}
+	address, stop, err := c.store.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &cluster{store: &standin.Server{}, clock: clockwork.NewFakeClock()}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- c.store.Serve(ctx, listener) }()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
+	t.Cleanup(stop)
 	ds := daemons{}
 	for _, incarnation := range []string{"first", "other"} {
 		d := &claim.Deduplicator{
 			Incarnation: incarnation,
-			Table:       &platform.ProductStore{Store: &platform.Store{Address: listener.Addr().String()}},
+			Table:       &platform.ProductStore{Store: &platform.Store{Address: address}},
 			Forwarder:   ds,
 			Clock:       c.clock,
 			RestoreWait: restoreWait,
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -1,9 +1,7 @@
 package registry_test
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"testing"
 	"time"
 
@@ -18,20 +16,14 @@
 // returns registries on it, one for each daemon.
 func startTable(t *testing.T) (*standin.Server, func() *registry.Registry) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server := &standin.Server{}
+	address, stop, err := server.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &standin.Server{}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(ctx, listener) }()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
+	t.Cleanup(stop)
 	return server, func() *registry.Registry {
-		store := &platform.ProductStore{Store: &platform.Store{Address: listener.Addr().String()}}
+		store := &platform.ProductStore{Store: &platform.Store{Address: address}}
 		return &registry.Registry{Table: store, Objects: store}
 	}
 }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -136,6 +136,21 @@
 	return server.Serve(listener)
 }
 
+// Start serves calls on a free port of the loopback address until stop is called.
+func (s *Server) Start() (address string, stop func(), err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx, listener) }()
+	return listener.Addr().String(), func() {
+		cancel()
+		<-ended
+	}, nil
+}
+
 // SetHosts replaces the host list, a table with a row for each host. The error is that of encoding a
 // host.
 func (s *Server) SetHosts(hosts []platform.Host) error {
