fix(daemon): tell daemons that start after a restore of the table of it

Callers would see: a key run twice by a daemon that started after the restore, since it knows of none and claims keys at once.

Cause: the restore was known only to daemons that had seen the era before.

Digests, which daemons exchange before they serve callers, carry the era and the time since a restore was seen. A daemon whose known era is lower notes the restore by the digest of the newcomer, and answers it. A daemon that reaches no other one still knows nothing.

--- a/internal/claim/restore.go
+++ b/internal/claim/restore.go
@@ -35,6 +35,32 @@
 	}
 }
 
+// ObserveRestore records what another daemon knows: the era of the table, and the time since it has seen a
+// restore, 0 if it has seen none.
+func (d *Deduplicator) ObserveRestore(era uint64, ago time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.observe()
+	if r := &d.restores; r.known && era > r.era {
+		r.era, r.seenAt = era, d.Clock.Now()
+	}
+	if seenAt := d.Clock.Now().Add(-ago); ago > 0 && seenAt.After(d.restores.seenAt) {
+		d.restores.seenAt = seenAt
+	}
+}
+
+// Restore returns the era of the table, 0 if it isn't known, and the time since a restore was seen, 0 if
+// none was.
+func (d *Deduplicator) Restore() (era uint64, ago time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.observe()
+	if !d.restores.seenAt.IsZero() {
+		ago = max(d.Clock.Since(d.restores.seenAt), time.Millisecond)
+	}
+	return d.restores.era, ago
+}
+
 // AwaitsOwners reports whether the table was restored less than RestoreWait ago.
 func (d *Deduplicator) AwaitsOwners() bool {
 	d.mu.Lock()
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sort"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -123,6 +124,7 @@
 		}
 		theirs = changes.Digest
 	}
+	d.observeRestore(theirs)
 	if theirs == nil || !digestsDiffer(d.digest(), theirs) {
 		return nil
 	}
@@ -137,6 +139,7 @@
 // digest returns the summary of this daemon's state that other daemons compare with theirs.
 // Epoch carries epochSum, and HeirsHash the number of known successions.
 func (d *Daemon) digest() *peerpb.Digest {
+	era, restoredAgo := d.deduplicator.Restore()
 	return &peerpb.Digest{
 		Host:          d.Settings.Host,
 		DataCentre:    d.Settings.DataCentre,
@@ -145,9 +148,17 @@
 		Epoch:         d.epochSum(),
 		OrdersHash:    d.registry.OrdersHash(),
 		HeirsHash:     uint64(d.successionCount()),
+
+		Era:            era,
+		RestoredMillis: restoredAgo.Milliseconds(),
 	}
 }
 
+// observeRestore records what the digest of another daemon says about restores of the platform's table.
+func (d *Daemon) observeRestore(theirs *peerpb.Digest) {
+	d.deduplicator.ObserveRestore(theirs.GetEra(), time.Duration(theirs.GetRestoredMillis())*time.Millisecond)
+}
+
 // epochSum returns the sum of the epochs of all known views. Epochs never decrease, so a
 // higher sum means newer views.
 func (d *Daemon) epochSum() uint64 {
@@ -166,6 +177,7 @@
 // handleDigest returns the changes that the caller may lack, or this daemon's digest if it
 // lacks none.
 func (d *Daemon) handleDigest(theirs *peerpb.Digest) (*peerpb.Reply, error) {
+	d.observeRestore(theirs)
 	mine := d.digest()
 	ahead := mine.ConfigVersion > theirs.ConfigVersion || mine.Epoch > theirs.Epoch
 	if !ahead && mine.OrdersHash == theirs.OrdersHash && mine.HeirsHash <= theirs.HeirsHash {
