fix(registry): write orders again that a restored table lacks

Operators would see: a data centre that they took out of service in service again for daemons that reach the table only, and one that they brought back out of service.

Cause: orders are written to the table once, by the daemon that gives them; a cancellation too. A restored table lacks the newest, or lists them as not cancelled.

Evidence: TestOrdersSurviveRestoreOfTable fails without the change: a daemon that starts later follows both orders the wrong way round.

Once after each restore, whoever reads the orders compares the rows with what it knows and writes what is missing, under the condition that the row hasn't changed. A cancellation is final, so that it replaces the order.

--- a/internal/registry/orders.go
+++ b/internal/registry/orders.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 
@@ -112,6 +113,43 @@
 		}
 		r.ApplyOrder(order)
 	}
+	return r.rewriteOrders(ctx, rows)
+}
+
+// rewriteOrders writes the known orders again that the rows lack or list as not cancelled, once after
+// each restore of the table from an older copy.
+func (r *Registry) rewriteOrders(ctx context.Context, rows []platform.Row) error {
+	era, _ := r.Table.Era()
+	if len(rows) > 0 {
+		era = rows[0].Era // the table may have been restored since
+	}
+	r.mu.Lock()
+	due := era > r.ordersEra
+	r.mu.Unlock()
+	if !due {
+		return nil
+	}
+	listed := map[string]platform.Row{}
+	for _, row := range rows {
+		listed[row.Key] = row
+	}
+	for _, order := range r.Orders() {
+		write, err := orderWrite(order)
+		if err != nil {
+			return err
+		}
+		row := listed[write.Key]
+		if row.Revision > 0 && (bytes.Equal(row.Value, write.Value) || !order.Cancelled) {
+			continue
+		}
+		tx := platform.Transaction{Conditions: []platform.Condition{{Key: write.Key, Revision: row.Revision}}, Writes: []platform.Write{write}}
+		if _, err := r.Table.Commit(ctx, tx); err != nil && problem.Of(err) != problem.Conflict {
+			return err
+		}
+	}
+	r.mu.Lock()
+	r.ordersEra = max(r.ordersEra, era)
+	r.mu.Unlock()
 	return nil
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -82,8 +82,10 @@
 	// unsavedOrders holds the orders given here that aren't in the table yet, by ID.
 	unsavedOrders map[string]datacentre.Order
 	loaded        bool
-	// era is that of the table of which the configuration is known to be part.
-	era uint64
+	// era is that of the table of which the configuration is known to be part, ordersEra that of the
+	// table which the known orders were last written to.
+	era       uint64
+	ordersEra uint64
 }
 
 // Document returns the configuration in force.
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -160,3 +160,26 @@
 		expectTiers(t, "a daemon", r, "first", "lost", "next")
 	}
 }
+
+// TestOrdersSurviveRestoreOfTable restores the table from a copy from before one order was given and
+// another one cancelled. A daemon that starts later must follow both.
+func TestOrdersSurviveRestoreOfTable(t *testing.T) {
+	server, newRegistry := startTable(t)
+	r := newRegistry()
+	submit(t, r, "first")
+	r.TakeOut(t.Context(), "back")
+	saved := server.Snapshot()
+	if err := r.BringIn(t.Context(), "back"); err != nil {
+		t.Fatal(err)
+	}
+	r.TakeOut(t.Context(), "out")
+	server.Restore(saved)
+	for _, who := range []*registry.Registry{r, newRegistry()} {
+		if err := who.Sync(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if who.DataCentreOut("back") || !who.DataCentreOut("out") {
+			t.Errorf("out of service are back: %v and out: %v, want only the latter", who.DataCentreOut("back"), who.DataCentreOut("out"))
+		}
+	}
+}
