fix(entry): request a table of a newer era from a daemon that has it

Callers would see: a configuration that isn't in force in time at a daemon whose calls the restored store rejects (CONFIG).

Cause: an announcement of an era named its sender as a source of all tables, though it had read one of them. The table that was requested from it was of the era before, and the next request came with the next failed read, up to 0.8 s later.

The source of a table is whoever announced the era for that table. After a failed read the table is requested as soon as one is known, once for each failed read.

--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -346,3 +346,46 @@
 		waitUntil(t, configBound, d.settings.Host+" uses the version that was written again", func() bool { return len(d.routeTable.Load().Routes) == 1 })
 	}
 }
+
+// TestDaemonThatStoreRejectsFollowsRestore restores the store while it rejects the calls of one daemon,
+// which is the leader or not.
+func TestDaemonThatStoreRejectsFollowsRestore(t *testing.T) {
+	for _, leader := range []bool{false, true} {
+		c := smallCluster(t)
+		cut := c.daemons[0]
+		for _, d := range c.daemons {
+			if (d.mesh.Leader() == d.settings.Host) == leader {
+				cut = d
+			}
+		}
+		saved := c.store.Snapshot()
+		c.putConfiguration(t, 2)
+		c.awaitConfiguration(t, 2)
+		c.store.SetFault(standinplatform.Fault{CutHosts: []string{cut.settings.Host}})
+		c.store.Restore(saved)
+		c.putConfiguration(t, 3)
+		c.awaitConfiguration(t, 3)
+		c.putConfiguration(t, 4)
+		c.awaitConfiguration(t, 4)
+		c.store.SetFault(standinplatform.Fault{})
+		c.putConfiguration(t, 5)
+		c.awaitConfiguration(t, 5)
+	}
+}
+
+// TestDaemonWithoutLinksFollowsRestore restores the store while a daemon has no links.
+func TestDaemonWithoutLinksFollowsRestore(t *testing.T) {
+	c := &testCluster{}
+	c.store, c.storeAddress = startStore(t)
+	c.putConfiguration(t, 1)
+	c.daemons = []*Daemon{startDaemon(t, "h", hostSpec{dataCentre: "a", cpuShare: 0.4, unlinked: true}, c.storeAddress)}
+	saved := c.store.Snapshot()
+	c.putConfiguration(t, 2)
+	c.awaitConfiguration(t, 2)
+	c.store.SetFault(standinplatform.Fault{Down: true})
+	time.Sleep(time.Second)
+	c.store.SetFault(standinplatform.Fault{})
+	c.store.Restore(saved)
+	c.putConfiguration(t, 3)
+	c.awaitConfiguration(t, 3)
+}
--- a/internal/entry/table_reader.go
+++ b/internal/entry/table_reader.go
@@ -83,11 +83,14 @@
 // announcedEra is an era of the store of which this daemon may not have a copy yet.
 type announcedEra struct {
 	era int64
-	// by is the daemon that has a copy of it, empty if this daemon has seen it in an answer of the
-	// store.
+	// by is a daemon that has a copy of it, empty if none is known.
 	by string
 	// readAt is when the table is to be read.
 	readAt time.Time
+	// failed is set once this daemon has tried to read it in vain, requested once it has requested the
+	// table from another daemon instead.
+	failed    bool
+	requested bool
 }
 
 // tableReader maintains a copy of a table of the platform's store. The leader reads the table
@@ -142,7 +145,7 @@
 			r.requireFullRead()
 		default:
 			d.log.Emit(event.LoopFailed, "Task", r.table, "Reason", err.Error())
-			r.requestNewerEra()
+			r.readFailed()
 			r.sleep(ctx, retry.next())
 		}
 	}
@@ -199,28 +202,42 @@
 // restored. Relaying whole tables instead would fill the links of the first reader.
 const newEraReadsPerSecond = 300
 
-// announce makes this daemon read the whole table if its copy is of an older era.
+// announce makes this daemon read the whole table if its copy is of an older era; by is that of
+// announcedEra.
 func (r *tableReader) announce(era int64, by string) {
 	r.mu.Lock()
 	news := era > max(r.announced.era, r.mirror.Era())
 	if news {
 		spread := time.Duration(float64(r.daemon.daemonCount()) / newEraReadsPerSecond * float64(time.Second))
-		r.announced = announcedEra{era: era, by: by, readAt: r.daemon.Clock.Now().Add(rand.N(spread + 1))}
+		r.announced = announcedEra{era: era, readAt: r.daemon.Clock.Now().Add(rand.N(spread + 1))}
+	}
+	if era == r.announced.era && by != "" {
+		r.announced.by = by
 	}
 	r.mu.Unlock()
 	if news {
 		r.recheckNow()
 	}
+	r.requestNewerEra()
 }
 
-// requestNewerEra requests the whole table from a daemon whose copy is of a newer era, if one is
-// known; the store doesn't answer this daemon.
+// readFailed handles a failed read of the table.
+func (r *tableReader) readFailed() {
+	r.mu.Lock()
+	r.announced.failed, r.announced.requested = true, false
+	r.mu.Unlock()
+	r.requestNewerEra()
+}
+
+// requestNewerEra requests the whole table from a daemon whose copy is of a newer era, once after each
+// failed read.
 func (r *tableReader) requestNewerEra() {
 	r.mu.Lock()
 	from := r.announced.by
-	newer := r.announced.era > r.mirror.Era()
+	due := r.announced.era > r.mirror.Era() && from != "" && r.announced.failed && !r.announced.requested
+	r.announced.requested = r.announced.requested || due
 	r.mu.Unlock()
-	if newer && from != "" {
+	if due {
 		r.requestTable(from)
 	}
 }
@@ -271,7 +288,7 @@
 	case u.Era < era:
 		return false, problem.New(problem.Unavailable, "store: the answer is of era %d, the copy of era %d", u.Era, era)
 	default:
-		r.daemon.announceEra(u.Era, "")
+		r.daemon.announceEra(u.Era)
 		return u.Full, nil
 	}
 }
@@ -342,7 +359,8 @@
 // the store is read.
 func (r *tableReader) handleUpdate(from string, sentAfter time.Time, m *clusterpb.Observed) {
 	if !m.GetWhole() && r.isNewerEra(m.GetEra()) {
-		r.daemon.announceEra(m.GetEra(), from)
+		r.announce(m.GetEra(), from)
+		r.daemon.announceEra(m.GetEra())
 		return
 	}
 	u, contiguous := r.decodeUpdate(m, sentAfter)
@@ -356,11 +374,10 @@
 	}
 }
 
-// announceEra makes all readers read their tables whose copies are of an older era; by is that of
-// announcedEra.
-func (d *Daemon) announceEra(era int64, by string) {
+// announceEra makes all readers read their tables whose copies are of an older era.
+func (d *Daemon) announceEra(era int64) {
 	for _, r := range d.tableReaders {
-		r.announce(era, by)
+		r.announce(era, "")
 	}
 }
 
