--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -63,7 +63,8 @@
 type cut struct {
 	framing string
 	// sent is the number of bytes of the body that are sent, with the marks of the framing.
-	sent  int
+	sent int
+	// reset is set if the connection is reset, otherwise it is closed.
 	reset bool
 }
 
@@ -80,15 +81,17 @@
 	}
 }
 
-// targets are two targets of one service. The first crashes requests end with a cut, after which the
-// target of the request has ended; the others are answered whole with the framing of the cut.
+// targets are two targets of one service. The first requests, as many as crashes, are answered with a
+// cut, after which their target has ended; the others are answered whole with the framing of the cut.
 type targets struct {
+	cut    cut
+	events bool
+
 	mu      sync.Mutex
 	crashes int
-	cut     cut
-	events  bool
 }
 
+// streamEvents is the number of events of a whole stream.
 const streamEvents = 2
 
 // text returns the whole answer, or the events after the last one that a client has.
@@ -256,15 +259,15 @@
 			if err != nil || !complete || body != ts.text("") {
 				t.Errorf("%s, %s: got %q, complete %v, %v", r.name, framing, body, complete, err)
 			}
-			answer, err := http.NewRequest(http.MethodGet, "http://"+address+"/2f", nil)
+			request, err := http.NewRequest(http.MethodGet, "http://"+address+"/2f", nil)
 			if err != nil {
 				t.Fatal(err)
 			}
-			answer.Host = "h"
+			request.Host = "h"
 			for name, value := range map[string]string{"X-Attempt-Id": "a2", "X-Pieces": "0", "X-Model": "m", "X-Token-Usage": "10,10", "X-Prompt-Prefix": "5c:10"} {
-				answer.Header.Set(name, value)
+				request.Header.Set(name, value)
 			}
-			response, err := http.DefaultClient.Do(answer)
+			response, err := http.DefaultClient.Do(request)
 			if err != nil {
 				t.Fatal(err)
 			}
