fix(forward): end a request at its deadline also if the context is late

Callers saw: 502 instead of 504 at the route's timeout; one more attempt at a target was made with no time left.

Cause: the deadline of a connection and that of the context are timers of their own. If the read of the answer timed out first, the request wasn't over yet: the next targets were dialled, which failed at once, and the failure counted as theirs.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -228,7 +228,7 @@
 	}
 	if q.mayHaveRun {
 		kind := problem.TargetFailed
-		if ctx.Err() != nil {
+		if q.isOver(ctx) {
 			kind = problem.Late
 		}
 		q.reject(problem.New(kind, "%s", problem.Detail(err)), 0)
@@ -240,6 +240,12 @@
 	q.reject(err, retryAfter)
 }
 
+// isOver reports whether the request has been cancelled or its deadline has passed. Calls to targets may
+// fail at the deadline before the context ends.
+func (q *requestState) isOver(ctx context.Context) bool {
+	return ctx.Err() != nil || q.remaining() <= 0
+}
+
 // remaining returns the time until the deadline.
 func (q *requestState) remaining() time.Duration {
 	return q.deadline.Sub(q.f.Clock.Now())
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -29,7 +29,7 @@
 // to one target after the other until one answers.
 func (q *requestState) answerPlain(ctx context.Context) {
 	last := problem.New(problem.Unavailable, "no usable target")
-	for ctx.Err() == nil {
+	for !q.isOver(ctx) {
 		target, ok, rateLimited := q.choose()
 		if rateLimited && !ok {
 			q.f.sleep(ctx, coldPollInterval)
@@ -45,8 +45,11 @@
 		}
 		last = err
 	}
-	if ctx.Err() != nil {
-		last = problem.New(problem.Late, "%v", context.Cause(ctx))
+	if q.isOver(ctx) {
+		last = errTimeout
+		if ctx.Err() != nil {
+			last = problem.New(problem.Late, "%v", context.Cause(ctx))
+		}
 	}
 	q.failUnanswered(ctx, last, busyRetryAfter)
 }
