fix(inventory): end the grace of a lapsed target also if no list is read

Cause: the grace ended only when the list of targets was read. Requests ask for a single target, which stayed known until then; and a row that came back with a restored store between the end of the grace and the next list counted as that of a live target.

Change: the grace is checked wherever one target is read and before a restored row.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -139,6 +139,9 @@
 func (inv *Inventory) ApplyRestoredReport(r platform.TargetReport, wait time.Duration) {
 	inv.mu.Lock()
 	defer inv.mu.Unlock()
+	if s := inv.targets[r.ID]; s != nil {
+		inv.removeLapsed(s)
+	}
 	_, ended := inv.ended[startID{r.ID, r.StartUnixMillis}]
 	if ended && inv.targets[r.ID] != nil {
 		return
@@ -330,7 +333,7 @@
 	inv.mu.Lock()
 	defer inv.mu.Unlock()
 	s := inv.targets[id]
-	if s == nil {
+	if s == nil || inv.removeLapsed(s) {
 		return Target{}, false
 	}
 	return inv.describe(s), true
@@ -342,12 +345,8 @@
 	inv.mu.Lock()
 	defer inv.mu.Unlock()
 	var list []Target
-	now := inv.Clock.Now()
-	for id, s := range inv.targets {
-		if !s.removeAt.IsZero() && now.After(s.removeAt) {
-			inv.recordEnd(s.report)
-			delete(inv.targets, id)
-			inv.version++
+	for _, s := range inv.targets {
+		if inv.removeLapsed(s) {
 			continue
 		}
 		if service == "" || s.report.Service == service {
@@ -358,6 +357,17 @@
 	return list
 }
 
+// removeLapsed removes the target if the grace of its lapsed row is over, and reports whether it did.
+func (inv *Inventory) removeLapsed(s *targetState) bool {
+	if s.removeAt.IsZero() || !inv.Clock.Now().After(s.removeAt) {
+		return false
+	}
+	inv.recordEnd(s.report)
+	delete(inv.targets, s.report.ID)
+	inv.version++
+	return true
+}
+
 // describe returns the state of a target at this moment.
 func (inv *Inventory) describe(s *targetState) Target {
 	now := inv.Clock.Now()
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -72,6 +72,9 @@
 		t.Error("a target with a lapsed row was removed before the grace ended")
 	}
 	clock.Advance(2 * time.Second)
+	if _, known := inv.Target("i-1"); known {
+		t.Error("a target with a lapsed row is known after the grace")
+	}
 	if len(inv.Targets("desk")) != 0 {
 		t.Error("a target with a lapsed row remains after the grace")
 	}
--- a/internal/inventory/restore_test.go
+++ b/internal/inventory/restore_test.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// TestLapsedTargetIsNotUsedWhenItsRowIsRestored restores the row of a target whose grace has passed.
+func TestLapsedTargetIsNotUsedWhenItsRowIsRestored(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	inv := &inventory.Inventory{Clock: clock}
+	inv.ApplyReport(report(5))
+	inv.Remove("i-1", true)
+	clock.Advance(3 * time.Second)
+	inv.ApplyRestoredReport(report(5), 4*time.Second)
+	if usable(t, inv) {
+		t.Error("a target whose row has lapsed is usable when the row is restored")
+	}
+}
+
 func TestEarlierStartOfTargetIsNotUsedWhenItsRowIsRestored(t *testing.T) {
 	inv := &inventory.Inventory{Clock: clockwork.NewFakeClock()}
 	first, second := report(9), report(1)
