--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 .PHONY: test prove measure lint format
 test:
-	go test -count=1 -timeout 60m ./...
+	go test -p 2 -count=1 -timeout 60m ./...
 
 # prove runs the specs of the promises, the properties that the system guarantees under faults; see
 # test/suite_test.go.
