fix(run): heed a target's own count after it has turned cold

Cause: its guardian counts its own requests only. Those that other daemons sent while the target was warm still run there, and the guardian sends within the cold limit beside them.

Change: each cold request goes over a new connection, whose report is current. If that shows the cold limit in use, within the longest run since the turn to cold, the request isn't sent and the target is avoided for 100 ms.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,6 +89,10 @@
 	warmAt time.Time
 	// coldAt is the time of the newest evidence that the present incarnation is cold.
 	coldAt time.Time
+	// wasWarm is set once the present incarnation was shown warm.
+	wasWarm bool
+	// turnedColdAt is when the present incarnation was first shown cold after it was warm.
+	turnedColdAt time.Time
 	// leaving is what the target or a notice of another daemon stated last.
 	leaving bool
 	// hostLeaving is what the platform's host list stated last.
@@ -300,16 +304,19 @@
 	wasLeaving := s.leaving
 	if report.Incarnation != s.report.Incarnation {
 		f.durations.ForgetTarget(name)
-		s.coldAt = time.Time{}
+		s.coldAt, s.wasWarm, s.turnedColdAt = time.Time{}, false, time.Time{}
 	}
 	s.report = report
 	s.leaving = report.Leaving
 	switch {
 	case report.Cold || report.Incarnation == "":
 		s.warmAt, s.coldAt = time.Time{}, now
+		if s.wasWarm && s.turnedColdAt.IsZero() {
+			s.turnedColdAt = now
+		}
 	case requestedAt.Before(s.coldAt): // may be of the time before the target turned cold
 	default:
-		s.warmAt = now
+		s.warmAt, s.wasWarm, s.turnedColdAt = now, true, time.Time{}
 	}
 	return StateChange{
 		BecameCold:    wasWarm && !s.warm(now),
@@ -318,6 +325,15 @@
 	}
 }
 
+// MayRunWarmRequests reports whether the target has turned cold without a restart and may still run
+// requests from before.
+func (f *Fleet) MayRunWarmRequests(contract target.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.state(contract.Name)
+	return !s.turnedColdAt.IsZero() && f.Clock.Now().Before(s.turnedColdAt.Add(contract.RunLimit()))
+}
+
 // MarkSuspect makes the target cold after a failed attempt and avoids it for
 // SuspectBackoff.
 func (f *Fleet) MarkSuspect(name string) StateChange {
--- a/internal/run/send.go
+++ b/internal/run/send.go
@@ -116,11 +116,17 @@
 		return nil, err
 	}
 	r.observe(t.Name, conn)
-	if cold || !conn.Report.Cold && !conn.Report.Leaving {
+	switch report := conn.Report; {
+	case cold && report.Running+report.Queued >= t.ColdLimit && r.Fleet.MayRunWarmRequests(t):
+		r.Links.Close(conn)
+		r.Fleet.MarkGuardianFull(t.Name)
+		return nil, notSent("the target reports that it is at its cold limit")
+	case cold || !report.Cold && !report.Leaving:
 		return conn, nil
+	default:
+		r.Links.Close(conn)
+		return nil, notSent("the target is cold or leaving")
 	}
-	r.Links.Close(conn)
-	return nil, notSent("the target is cold or leaving")
 }
 
 // pooledConn returns an idle connection to the incarnation that is known to be warm, or nil.
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -298,19 +298,30 @@
 	}
 }
 
-// guardianOf returns the daemon that is the guardian of the target according to the first
-// daemon, or nil if there is none.
-func (c *cluster) guardianOf(name string) *daemonProcess {
-	host := ""
-	Expect(c.operate(c.daemons[0], func(ctx context.Context, client operator.OperatorClient) error {
+// targetStatus returns what a daemon states about a target, nil if it states nothing.
+func (c *cluster) targetStatus(d *daemonProcess, name string) *operator.TargetStatus {
+	var status *operator.TargetStatus
+	Expect(c.operate(d, func(ctx context.Context, client operator.OperatorClient) error {
 		reply, err := client.Status(ctx, &operator.StatusRequest{})
 		for _, t := range reply.GetDaemons()[0].GetTargets() {
 			if t.Name == name {
-				host = t.Guardian
+				status = t
 			}
 		}
 		return err
 	})).To(Succeed())
+	return status
+}
+
+// isWarm reports whether a daemon knows that the target is warm.
+func (c *cluster) isWarm(d *daemonProcess, name string) bool {
+	return c.targetStatus(d, name).GetWarm()
+}
+
+// guardianOf returns the daemon that is the guardian of the target according to the first
+// daemon, or nil if there is none.
+func (c *cluster) guardianOf(name string) *daemonProcess {
+	host := c.targetStatus(c.daemons[0], name).GetGuardian()
 	for _, d := range c.daemons {
 		if d.host == host {
 			return d
--- a/test/cold_test.go
+++ b/test/cold_test.go
@@ -164,4 +164,40 @@
 		GinkgoWriter.Println("excess over the cold limit:", excess)
 		Expect(excess).To(BeNumerically("<=", 3*4), "more than the warm limit of each daemon")
 	})
+
+	It("sends nothing to a target that has turned cold while requests of its warm time still run", func() {
+		const running = 3
+		c := newCluster(2, dataCentres[:1], "--report-interval=200ms")
+		target := c.addTarget("llm-0", dataCentres[0], standintarget.Profile{
+			Kind: "llm", FirstMillis: 20, Tokens: 4, TokenMillis: 300, Batch: 16, ColdLimit: 1, WarmAfter: 100,
+		})
+		c.awaitVersion(c.apply(c.daemons[0], testConfiguration(target)))
+		var guardian *daemonProcess
+		Eventually(func() *daemonProcess { guardian = c.guardianOf("llm-0"); return guardian }, 10*time.Second).ShouldNot(BeNil())
+		for _, d := range c.daemons {
+			Eventually(c.isWarm, 10*time.Second).WithArguments(d, "llm-0").Should(BeTrue())
+		}
+		other := c.daemons[0]
+		if other == guardian {
+			other = c.daemons[1]
+		}
+		var group sync.WaitGroup
+		defer group.Wait()
+		send := func(d *daemonProcess) {
+			group.Go(func() {
+				defer GinkgoRecover()
+				Expect(runAt(d.callerAddress, "front-desk", "stop-plan", "", caller.RunBody{Tier: "later", Input: "a"}, 25*time.Second).Status).To(Equal(200))
+			})
+		}
+		for range running {
+			send(other)
+		}
+		Eventually(func() int { return executionCount(c) }, 10*time.Second).Should(Equal(running))
+		c.setTargetFault("llm-0", standintarget.Fault{Cold: true})
+		Eventually(c.isWarm, 3*time.Second).WithArguments(guardian, "llm-0").Should(BeFalse())
+		send(guardian)
+		Eventually(func() int { return executionCount(c) }, 15*time.Second).Should(Equal(running + 1))
+		group.Wait()
+		Expect(coldLimitExcess(c)).To(BeEmpty())
+	})
 })
