fix(registry): don't apply lost changes a second time after later ones

Operators would see: a confirmed change comes back older (CONFIG) after the table was restored from an older copy, if an earlier one that was lost too is submitted again through a daemon that doesn't know them.

Cause: changes of the restored table that differ from the known change of the same version are applied after the known ones. One that was submitted again is among the known ones; it was applied a second time, after the changes that had replaced it.

Evidence: found by reading; TestChangeThatIsSubmittedAgainDoesNotUndoLaterOne failed at all daemons in both of its orders: the deadline was that of the earlier change.

Known changes are left out, by their ID. A table that lists them in another order is still rewritten, so that all daemons agree. After it the test passes.

--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -32,12 +32,12 @@
 	if !restored {
 		return h, row.Revision, nil
 	}
-	foreign, err := r.foreignChanges(ctx, h, own.Version, known)
+	foreign, diverged, err := r.foreignChanges(ctx, h, own.Version, known)
 	if err != nil {
 		return h, 0, err
 	}
 	revision := row.Revision
-	if len(foreign) > 0 || h.Version < own.Version {
+	if diverged || h.Version < own.Version {
 		r.Log.Emit(event.ConfigurationRewritten, "Version", own.Version, "Head", h.Version, "Foreign", len(foreign), "Era", row.Era)
 		if h, revision, err = r.rewrite(ctx, h, row.Revision, own, known, foreign); err != nil {
 			return h, 0, err
@@ -49,29 +49,35 @@
 	return h, revision, nil
 }
 
-// foreignChanges returns the changes of the table from the first one that differs from the known change
-// of the same version. Changes after the version are foreign only if an earlier one is.
-func (r *Registry) foreignChanges(ctx context.Context, h head, version uint64, known []catalog.Change) ([]catalog.Change, error) {
+// foreignChanges reports whether a change of the table, up to the version, differs from the known change
+// of the same version. It returns the changes from the first such one that aren't known; a known change
+// that was submitted again is in force already, and would undo later ones.
+func (r *Registry) foreignChanges(ctx context.Context, h head, version uint64, known []catalog.Change) (foreign []catalog.Change, diverged bool, err error) {
 	if len(known) == 0 || h.Version < known[0].Version {
-		return nil, nil
+		return nil, false, nil
+	}
+	knownIDs := make(map[string]bool, len(known))
+	for _, c := range known {
+		knownIDs[c.ID] = true
 	}
 	first := known[0].Version
 	rows, err := r.Table.Scan(ctx, changePrefix, changeKey(first-1), int(h.Version-first+1))
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	var foreign []catalog.Change
 	for _, row := range rows {
 		c, err := catalog.DecodeChange(row.Value)
 		if err != nil {
-			return nil, err
+			return nil, false, err
+		}
+		if c.Version >= first && c.Version <= version && c.ID != known[c.Version-first].ID {
+			diverged = true
 		}
-		differs := c.Version >= first && c.Version <= version && c.ID != known[c.Version-first].ID
-		if differs || len(foreign) > 0 {
+		if diverged && !knownIDs[c.ID] {
 			foreign = append(foreign, c)
 		}
 	}
-	return foreign, nil
+	return foreign, diverged, nil
 }
 
 // rewrite commits the own configuration, with the foreign changes applied after it under new versions, as
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -115,6 +115,41 @@
 	}
 }
 
+// TestChangeThatIsSubmittedAgainDoesNotUndoLaterOne submits lost changes again, in another order, through a
+// daemon that doesn't know them. The daemon that knows them must not apply them after later ones.
+func TestChangeThatIsSubmittedAgainDoesNotUndoLaterOne(t *testing.T) {
+	setDeadline := func(id string, deadline time.Duration) catalog.Change {
+		return catalog.Change{ID: id, Tiers: []tier.Tier{{Name: "now", Deadline: deadline}}}
+	}
+	earlier, later := setDeadline("earlier", time.Second), setDeadline("later", 2*time.Second)
+	for _, again := range [][]catalog.Change{{earlier}, {later, earlier}} {
+		server, newRegistry := startTable(t)
+		all := newRegistry()
+		submit(t, all, "first")
+		saved := server.Snapshot()
+		for _, c := range []catalog.Change{setDeadline("unrelated", time.Minute), earlier, later} {
+			if _, err := all.Submit(t.Context(), 0, c); err != nil {
+				t.Fatal(err)
+			}
+		}
+		server.Restore(saved)
+		late := newRegistry()
+		for _, c := range again {
+			if _, err := late.Submit(t.Context(), 0, c); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, r := range []*registry.Registry{all, late, newRegistry()} {
+			if err := r.Sync(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if got := r.Document().Tiers["now"].Deadline; got != 2*time.Second {
+				t.Errorf("%d changes again: the deadline is %v, want that of the latest change", len(again), got)
+			}
+		}
+	}
+}
+
 // TestSnapshotSurvivesRestoreOfTable restores the table while the only daemon that knows the lost changes
 // knows them as a snapshot.
 func TestSnapshotSurvivesRestoreOfTable(t *testing.T) {
