fix(exchange): don't take an answer without an ID on a kept connection

Cause: a faulty target may write an earlier rejection once more on a kept connection; one without an attempt ID was taken for the answer to the next request, which the target runs. Requests that aren't idempotent were never exposed, since each has a connection of its own; idempotent ones were counted as not run. An answer without an ID is accepted on new connections only.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -3,7 +3,8 @@
 //
 // Targets echo the ID of the attempt. A faulty target may send an answer twice, so that an
 // answer to an earlier request arrives before the expected one; it is recognized by its ID
-// and dropped. A connection is pooled again only after a complete answer without further
+// and dropped. An answer without an ID counts only on a new connection: on others it may be such
+// a copy too. A connection is pooled again only after a complete answer without further
 // bytes behind it, and after the complete request body was written.
 //
 // # Usage
@@ -26,6 +27,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
@@ -113,7 +115,8 @@
 	Head []byte
 	Body []byte
 	// AttemptID is the ID of the attempt. An answer with another ID is dropped; an answer
-	// without an ID is accepted. If AttemptID is empty, any answer is accepted.
+	// without an ID is accepted on a new connection only. If AttemptID is empty, any answer is
+	// accepted.
 	AttemptID string
 	// FirstByteTimeout bounds the wait for the head of the answer; 0 means no bound.
 	FirstByteTimeout time.Duration
@@ -167,6 +170,8 @@
 	maxIdleTime time.Duration
 	// idleUntil is the time after which the idle connection isn't used again.
 	idleUntil time.Time
+	// lastBody is the hash of the body that RepeatsBody was last called with, 0 before.
+	lastBody uint64
 	// bodySent receives the result of writing a large request body; nil for a small one.
 	bodySent chan error
 	// deadline is that of the current exchange, zero if there is none.
@@ -199,9 +204,12 @@
 		if err != nil {
 			return nil, c.sendError("answer", err)
 		}
-		if r.AttemptID == "" || answer.Head.AttemptID == "" || answer.Head.AttemptID == r.AttemptID {
+		if r.AttemptID == "" || answer.Head.AttemptID == r.AttemptID || answer.Head.AttemptID == "" && !c.reused {
 			return answer, nil
 		}
+		if answer.Head.AttemptID == "" {
+			return nil, c.sendError("answer", problem.New(problem.TargetFailed, "an answer without an attempt ID may belong to an earlier request"))
+		}
 		if _, err := io.CopyN(io.Discard, answer.Body, maxExtraAnswerBytes); err != io.EOF {
 			return nil, c.sendError("answer to another request", errors.Join(err, io.ErrUnexpectedEOF))
 		}
@@ -209,6 +217,15 @@
 	return nil, c.sendError("answer", problem.New(problem.TargetFailed, "the answers belong to other requests"))
 }
 
+// RepeatsBody reports whether the body equals that of the last call, and remembers it. It recognizes a
+// second copy of an answer where answers carry no attempt ID and no two of them are alike.
+func (c *Conn) RepeatsBody(body []byte) bool {
+	hash := xxhash.Sum64(body)
+	repeated := hash == c.lastBody
+	c.lastBody = hash
+	return repeated
+}
+
 // setReadTimeout bounds the next reads by d and by the deadline of the exchange.
 func (c *Conn) setReadTimeout(d time.Duration) {
 	limit := time.Now().Add(d)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -336,3 +336,19 @@
 		}
 	}
 }
+
+// TestRejectionWithoutIDOnKeptConnectionIsNotUsed has a target write an earlier rejection once more on a
+// kept connection, as the answer to a request that it runs.
+func TestRejectionWithoutIDOnKeptConnectionIsNotUsed(t *testing.T) {
+	const rejection = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	address := serve(t, respond(rejection, rejection+answer("b", "second")))
+	pool := newPool()
+	if _, err := do(t, pool, address, exchange.OpenOptions{}, request("a")); err != nil {
+		t.Fatalf("the rejection on the new connection: %v", err)
+	}
+	if body, err := do(t, pool, address, exchange.OpenOptions{}, request("b")); err == nil {
+		t.Errorf("the rejection counts as the answer to the next request, with body %q", body)
+	} else if exchange.NotSent(err) {
+		t.Errorf("the request counts as not sent: %v", err)
+	}
+}
