feat: heed Server-Leaving and Retry-After of targets

Cause: nothing read either header, so that a daemon went on sending to a target that had said that it leaves, or that it wants no requests for a time.

A notice belongs to one start of a target; the inventory keeps it, also while the target's row is missing. Plain requests, streams, resumed runs and stage calls heed them; a daemon declines an engine that it must not use and reports the notice to the leader, which places around it: leaving binds all, Retry-After the one daemon. While all targets of a service are held, requests and jobs are rejected at once with the time until one takes them. Frees wait for a held target. The answer to a stage call that repeats the one before it on its connection is dropped, since those carry no attempt ID, and a connection with a rejected call isn't kept.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -37,6 +37,8 @@
 	reserved [forecastSteps]time.Duration
 	// demand is the target time that all jobs need, admitted or deferred.
 	demand time.Duration
+	// heldFor is the time until the first target wants calls again, 0 if one of them wants calls now.
+	heldFor time.Duration
 }
 
 // admitAll admits a set of jobs that can all meet their soft deadlines together, and defers the
@@ -125,10 +127,15 @@
 // forecast returns the capacity of the service's targets, with nothing reserved.
 func (pl *pool) forecast(now time.Time) *capacityForecast {
 	f := &capacityForecast{}
+	open := 0
 	for _, t := range pl.targets {
 		if t.Closed {
 			continue
 		}
+		if heldFor := max(t.heldUntil.Sub(now), 0); open == 0 || heldFor < f.heldFor {
+			f.heldFor = heldFor
+		}
+		open++
 		free := t.freeAt(now).Sub(now)
 		for i := range f.capacity {
 			if left := time.Duration(i+1)*forecastStep - free; left > 0 {
@@ -230,8 +237,11 @@
 }
 
 // retryAfter returns the time after which about half of the reserved work is done, within
-// minRetryAfter and maxRetryAfter.
+// minRetryAfter and maxRetryAfter. While all targets want no calls, it is the time until one does.
 func (f *capacityForecast) retryAfter() time.Duration {
+	if f.heldFor > 0 {
+		return max(f.heldFor, minRetryAfter)
+	}
 	need := f.reserved[forecastSteps-1] / 2
 	for i, capacity := range f.capacity {
 		if capacity >= need {
--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -101,6 +101,9 @@
 	if t.pausedUntil.After(at) {
 		at = t.pausedUntil
 	}
+	if t.heldUntil.After(at) {
+		at = t.heldUntil
+	}
 	return at
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -161,7 +161,7 @@
 func (pl *pool) freeTargets(now time.Time) []*targetState {
 	var free []*targetState
 	for _, t := range pl.targets {
-		if !t.Closed && len(t.running) < pl.batch.Slots && !now.Before(t.pausedUntil) {
+		if !t.Closed && len(t.running) < pl.batch.Slots && !now.Before(t.pausedUntil) && !now.Before(t.heldUntil) {
 			free = append(free, t)
 		}
 	}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -41,8 +41,8 @@
 	pool *pool
 	// running are the running calls by ID.
 	running map[uint64]*call
-	// pausedUntil is when the next call may be sent.
-	pausedUntil time.Time
+	// pausedUntil is when the next call may be sent, heldUntil when the target wants calls again.
+	pausedUntil, heldUntil time.Time
 	// slowness is the moving average of measured divided by expected call durations; 1 is as
 	// expected, 2 takes twice the time.
 	slowness float64
@@ -119,6 +119,26 @@
 	return p.takeActions()
 }
 
+// HoldTarget sends no calls to a start of a target for a time, since it wants none.
+func (p *Planner) HoldTarget(now time.Time, id string, incarnation int64, wait time.Duration) {
+	if t := p.targets[id]; t != nil && t.Incarnation == incarnation && now.Add(wait).After(t.heldUntil) {
+		t.heldUntil = now.Add(wait)
+	}
+}
+
+// CloseTarget sends no more calls to a start of a target, see Target.Closed.
+func (p *Planner) CloseTarget(id string, incarnation int64) {
+	if t := p.targets[id]; t != nil && t.Incarnation == incarnation {
+		t.Closed = true
+	}
+}
+
+// Held reports whether the target wants no calls yet.
+func (p *Planner) Held(now time.Time, id string) bool {
+	t := p.targets[id]
+	return t != nil && now.Before(t.heldUntil)
+}
+
 // removeTarget removes a target. Pieces whose results were there are computed again if they
 // are still needed.
 func (p *Planner) removeTarget(t *targetState) {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -191,6 +191,7 @@
 		PartReleased:    d.quarantine.release,
 		EngineFailed:    d.inventory.RecordFailure,
 		EngineSucceeded: d.inventory.RecordSuccess,
+		TargetLeaving:   d.inventory.MarkLeaving,
 	}
 	d.scheduler.Init()
 	d.forwarder = &forward.Forwarder{
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -151,6 +151,13 @@
 
 // startForwarder serves a route with the two targets, and returns the address for clients.
 func startForwarder(t *testing.T, r route.Route, ts *targets) string {
+	t.Helper()
+	return startForwarderTo(t, r, map[string]string{"i-1": ts.start(t), "i-2": ts.start(t)})
+}
+
+// startForwarderTo serves a route with targets, whose addresses are given by ID, and returns the address
+// for clients.
+func startForwarderTo(t *testing.T, r route.Route, addresses map[string]string) string {
 	t.Helper()
 	clock := clockwork.NewRealClock()
 	r.Host, r.Prefix, r.Timeout, r.LatencyObjective = "h", "/", 5*time.Second, time.Second
@@ -159,8 +166,7 @@
 	table := route.NewTable(1, []route.Route{r}, []service.Service{llm}, route.Limits{}, nil)
 	inv := &inventory.Inventory{Clock: clock}
 	var engines []placement.Engine
-	for _, id := range []string{"i-1", "i-2"} {
-		address := ts.start(t)
+	for id, address := range addresses {
 		inv.ApplyReport(platform.TargetReport{ID: id, Service: "llm", Address: address, Slots: 8})
 		engines = append(engines, placement.Engine{ID: id, Service: "llm", Address: address})
 	}
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -64,10 +64,12 @@
 		}
 		q.assignedAt = q.f.Clock.Now()
 		target, known := q.f.Inventory.Target(assigned.Target)
-		if !known || !target.Usable() {
+		if !known || !target.Usable() || !target.HeldUntil.IsZero() {
 			// The daemon that assigns the engines may have older information than this one, for
 			// example while the metadata store rejects its calls.
-			q.f.Log.Emit(event.TargetDeclined, "Request", q.headers.AttemptID, "Target", assigned.Target, "Known", known, "Draining", target.Draining, "Out", target.DataCentreOut)
+			q.f.Log.Emit(event.TargetDeclined, "Request", q.headers.AttemptID, "Target", assigned.Target, "Known", known, "Draining", target.Draining, "Leaving", target.Leaving, "Out", target.DataCentreOut,
+				"HeldUntil", target.HeldUntil)
+			q.f.reportNotice(assigned.Target)
 			ticket.Reassign(scheduler.EngineFailure{Target: assigned.Target})
 			continue
 		}
@@ -198,6 +200,9 @@
 	if err != nil {
 		return engineOutcome{err: err, faulty: ctx.Err() == nil}
 	}
+	if answer.Head.Leaving || answer.Head.RetryAfter > 0 {
+		f.reportNotice(target.ID)
+	}
 	switch {
 	case answer.Head.NotExecuted:
 		f.Pool.Release(conn)
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -98,7 +98,7 @@
 	defer l.mu.Unlock()
 	lowest := 0.0
 	for _, t := range s.targets {
-		if !t.Usable() || s.tried[t.ID] {
+		if !t.Usable() || !t.HeldUntil.IsZero() || s.tried[t.ID] {
 			continue
 		}
 		limiter := &l.get(t.ID).coldLimiter
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -28,7 +28,7 @@
 // answerPlain handles a request without stages and without a stream: it sends the request
 // to one target after the other until one answers.
 func (q *requestState) answerPlain(ctx context.Context) {
-	last := problem.New(problem.Unavailable, "no usable target")
+	last, retryAfter := problem.New(problem.Unavailable, "no usable target"), busyRetryAfter
 	for !q.isOver(ctx) {
 		target, ok, rateLimited := q.choose()
 		if rateLimited && !ok {
@@ -51,7 +51,10 @@
 			last = problem.New(problem.Late, "%v", context.Cause(ctx))
 		}
 	}
-	q.failUnanswered(ctx, last, busyRetryAfter)
+	if wait, allHeld := firstRelease(q.f.Clock.Now(), q.f.Inventory.Targets(q.service)); allHeld {
+		retryAfter = wait
+	}
+	q.failUnanswered(ctx, last, retryAfter)
 }
 
 // choose returns the target for the next send, see targetLoads.choose.
@@ -212,6 +215,7 @@
 		if err == nil {
 			q.sends++
 			q.answerStartedAt = f.Clock.Now()
+			q.recordNotices(target, answer.Head)
 			f.Metrics.RecordAttempt(q.service, outcomeAnswered)
 			return answer, conn, nil
 		}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -69,11 +69,16 @@
 	// Unconfirmed means that the store lists it again since it was restored from an older copy,
 	// though it had ended.
 	Unconfirmed bool
+	// Leaving means that it has said in an answer that it leaves.
+	Leaving bool
+	// HeldUntil is until when it wants no requests of this daemon; zero if it takes them now.
+	HeldUntil time.Time
 }
 
-// Usable reports whether new work may be sent to the target. A suspect target is usable.
+// Usable reports whether new work may be sent to the target, by this daemon unless HeldUntil is set.
+// A suspect target is usable.
 func (t Target) Usable() bool {
-	return !t.Draining && !t.DataCentreOut && !t.Unreachable && !t.Replaced && !t.Unconfirmed
+	return !t.Draining && !t.Leaving && !t.DataCentreOut && !t.Unreachable && !t.Replaced && !t.Unconfirmed
 }
 
 // Inventory holds the state of all targets. The zero value with a clock is ready to use; it is
@@ -85,6 +90,7 @@
 	targets map[string]*targetState
 	// ended holds the times at which starts of targets ended or were replaced by another start.
 	ended                  map[startID]time.Time
+	notices                notices
 	outDataCentres         map[string]outOfService
 	unreachableDataCentres map[string]bool
 	version                uint64
@@ -189,6 +195,9 @@
 	if s == nil {
 		s = &targetState{}
 		inv.targets[r.ID] = s
+		if r.StartUnixMillis == 0 {
+			inv.notices.forget(startID{id: r.ID}) // it may be another start, which can't be told apart
+		}
 	}
 	if r.Sequence > s.report.Sequence && !s.replacedUntil.IsZero() {
 		s.replacedUntil = time.Time{}
@@ -371,6 +380,7 @@
 // describe returns the state of a target at this moment.
 func (inv *Inventory) describe(s *targetState) Target {
 	now := inv.Clock.Now()
+	start := startID{s.report.ID, s.report.StartUnixMillis}
 	return Target{
 		ID:              s.report.ID,
 		Service:         s.report.Service,
@@ -384,6 +394,8 @@
 		Unreachable:     inv.unreachableDataCentres[s.report.DataCentre],
 		Replaced:        now.Before(s.replacedUntil),
 		Unconfirmed:     now.Before(s.unconfirmedUntil),
+		Leaving:         inv.notices.leaving(start),
+		HeldUntil:       inv.notices.heldUntil(now, start),
 		Suspect:         s.failures >= suspectAfter && now.Sub(s.failedAt) < suspectDuration,
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -71,6 +71,8 @@
 	DataCentre string
 	// Exclude holds the IDs of the engines that the request was sent to before.
 	Exclude map[string]bool
+	// Host is the host of that daemon.
+	Host string
 }
 
 // The parameters of the cost of an engine for a request. Costs are in milliseconds of time to the
@@ -106,6 +108,7 @@
 	// lastUse holds the time of the last use of each part that any engine has read, by
 	// partKey.
 	lastUse map[string]time.Time
+	holds   holds
 	// CacheLifetime is the time after its last use for which a part counts as cached by some
 	// engine. New sets 10 s.
 	CacheLifetime time.Duration
@@ -194,7 +197,7 @@
 // sent later.
 func (s *Selector) HeldByColdRate(now time.Time, r Request) bool {
 	for _, e := range s.engines {
-		if e.accepts(r) && !e.coldLimiter.Allows(now) {
+		if s.accepts(now, e, r) && !e.coldLimiter.Allows(now) {
 			return true
 		}
 	}
@@ -202,7 +205,12 @@
 }
 
 // accepts reports whether the request may be sent to the engine, apart from its rate limit.
-func (e *engine) accepts(r Request) bool {
+func (s *Selector) accepts(now time.Time, e *engine, r Request) bool {
+	return e.serves(r) && !now.Before(s.holds.until(r.Host, e))
+}
+
+// serves reports whether the request may be sent to the engine, apart from its rate limit and holds.
+func (e *engine) serves(r Request) bool {
 	return e.Service == r.Service && !e.Closed && !r.Exclude[e.ID]
 }
 
@@ -249,7 +257,7 @@
 	var cheapest *engine
 	var lowest float64
 	for _, e := range s.engines {
-		if !e.accepts(r) || !e.coldLimiter.Allows(now) {
+		if !s.accepts(now, e, r) || !e.coldLimiter.Allows(now) {
 			continue
 		}
 		cost := s.cost(now, e, r)
--- a/internal/scheduler/call.go
+++ b/internal/scheduler/call.go
@@ -104,21 +104,21 @@
 	if err != nil {
 		return nil, dispatch.Lost, err
 	}
-	status, answer, err := s.callTarget(ctx, target.Address, head, body)
+	answerHead, answer, err := s.callTarget(ctx, target, head, body)
 	switch {
 	case exchange.NotSent(err):
 		return nil, dispatch.Unreached, err
 	case err != nil:
 		return nil, dispatch.Lost, err
 	}
-	switch status {
+	switch answerHead.Status {
 	case fasthttp.StatusOK:
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
 		return nil, dispatch.Full, nil
 	case fasthttp.StatusMisdirectedRequest:
 		return nil, dispatch.Unreached, problem.New(problem.Unavailable, "another target answers at %s", target.Address)
 	default:
-		return nil, dispatch.Lost, problem.New(problem.TargetFailed, "the target answered with status %d", status)
+		return nil, dispatch.Lost, problem.New(problem.TargetFailed, "the target answered with status %d", answerHead.Status)
 	}
 	decoded, err := platform.DecodeStageRun(answer, len(pieces))
 	if err != nil {
@@ -139,37 +139,49 @@
 	platform.PieceError:     dispatch.Broken,
 }
 
-// callTarget sends one request to a target and returns the HTTP status and body of its answer. A
+// callTarget sends one request to a target and returns the head and the body of its answer. A
 // request that fails within staleConnTimeout on a pooled connection is sent once more on a new
 // one, since stage targets may run a piece twice. A request that fails later was being worked
 // on and isn't repeated: its inputs may be freed by now, and its job may no longer be wanted.
-func (s *Scheduler) callTarget(ctx context.Context, address string, head, body []byte) (int, []byte, error) {
+func (s *Scheduler) callTarget(ctx context.Context, target dispatch.Target, head, body []byte) (platform.AnswerHead, []byte, error) {
 	start := s.Clock.Now()
-	status, answer, err := s.exchangeOnce(ctx, address, head, body, exchange.Pooled)
+	answerHead, answer, err := s.exchangeOnce(ctx, target.Address, head, body, exchange.Pooled)
 	if err != nil && exchange.Reused(err) && ctx.Err() == nil && s.Clock.Since(start) < staleConnTimeout {
-		return s.exchangeOnce(ctx, address, head, body, exchange.Fresh)
+		answerHead, answer, err = s.exchangeOnce(ctx, target.Address, head, body, exchange.Fresh)
 	}
-	return status, answer, err
+	if err == nil {
+		s.recordStageNotices(target, answerHead)
+	}
+	return answerHead, answer, err
 }
 
-// exchangeOnce sends one request over one connection.
-func (s *Scheduler) exchangeOnce(ctx context.Context, address string, head, body []byte, reuse exchange.Reuse) (int, []byte, error) {
+// exchangeOnce sends one request over one connection and returns the head and the body of the answer.
+func (s *Scheduler) exchangeOnce(ctx context.Context, address string, head, body []byte, reuse exchange.Reuse) (platform.AnswerHead, []byte, error) {
 	conn, err := s.Pool.Open(ctx, address, exchange.OpenOptions{Reuse: reuse})
 	if err != nil {
-		return 0, nil, err
+		return platform.AnswerHead{}, nil, err
 	}
 	answer, err := conn.Do(ctx, exchange.Request{Head: head, Body: body})
 	if err != nil {
 		s.Pool.Discard(conn)
-		return 0, nil, err
+		return platform.AnswerHead{}, nil, err
 	}
 	answerBody, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
 	if err != nil {
 		s.Pool.Discard(conn)
-		return 0, nil, problem.New(problem.Unavailable, "reading the answer of %s: %v", address, err)
+		return platform.AnswerHead{}, nil, problem.New(problem.Unavailable, "reading the answer of %s: %v", address, err)
+	}
+	if answer.Head.Status != fasthttp.StatusOK {
+		s.Pool.Discard(conn) // a second copy of a rejection can't be told from that of the next call
+		return answer.Head, answerBody, nil
+	}
+	// No two answers to calls name the same results; those to calls that free results are empty.
+	if len(answerBody) > 0 && conn.RepeatsBody(answerBody) {
+		s.Pool.Discard(conn)
+		return platform.AnswerHead{}, nil, problem.New(problem.TargetFailed, "%s has sent the answer to an earlier call again", address)
 	}
 	s.Pool.Release(conn)
-	return answer.Head.Status, answerBody, nil
+	return answer.Head, answerBody, nil
 }
 
 // queueFree adds results to the pending frees of their target, which are sent after freeDelay
@@ -183,10 +195,11 @@
 	f.handles = append(f.handles, a.Handles...)
 }
 
-// flushFrees sends the pending frees that are older than freeDelay.
+// flushFrees sends the pending frees that are older than freeDelay, unless their target wants no calls
+// yet.
 func (s *Scheduler) flushFrees(now time.Time) {
 	for _, f := range s.pendingFrees {
-		if now.Sub(f.since) >= freeDelay {
+		if now.Sub(f.since) >= freeDelay && !s.planner.Held(now, f.target.ID) {
 			s.sendFree(f)
 		}
 	}
@@ -206,7 +219,7 @@
 func (s *Scheduler) runFree(ctx context.Context, f *pendingFree) {
 	head, body, err := platform.AppendStageFree(nil, f.target.ID, f.target.Address, f.handles)
 	if err == nil {
-		_, _, err = s.callTarget(ctx, f.target.Address, head, body)
+		_, _, err = s.callTarget(ctx, f.target, head, body)
 	}
 	if err != nil {
 		s.Log.Emit(event.StageCallFailed, "Target", f.target.ID, "Results", len(f.handles), "Reason", err.Error())
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -139,6 +139,9 @@
 	// EngineFailed and EngineSucceeded are called when other daemons report the outcome at the
 	// engine of their request; they may be nil.
 	EngineFailed, EngineSucceeded func(target string)
+	// TargetLeaving is called when a target has said in an answer that this start of it leaves, and
+	// reports whether that is news; it may be nil.
+	TargetLeaving func(target string, incarnation int64) bool
 	// Quarantine tracks the parts of prompts that crash engines; nil quarantines none.
 	Quarantine *quarantine.Tracker
 	// PartQuarantined and PartReleased are called when this daemon has found that a part must be
@@ -283,6 +286,7 @@
 		return
 	}
 	r := &request{origin: origin, generation: job.Generation, expiresAt: job.Deadline.Add(retentionAfterDeadline)}
+	r.generation.Host = origin
 	s.requests[job.ID] = r
 	if s.rejectQuarantined(job.ID, r) {
 		return
@@ -356,9 +360,13 @@
 		return // assignHeld assigns it later
 	}
 	if !ok {
+		retryAfter := noTargetRetryAfter
+		if wait, held := s.selector.HeldFor(now, r.generation); held {
+			retryAfter = wait
+		}
 		s.Log.Emit(event.JobRejected, "Request", id, "Origin", r.origin, "Reason", string(dispatch.NoTarget), "Service", r.generation.Service,
-			"Excluded", len(r.generation.Exclude), "Steps", r.stageTimings)
-		s.reject(id, r, string(dispatch.NoTarget), noTargetRetryAfter)
+			"Excluded", len(r.generation.Exclude), "RetryAfterMillis", retryAfter.Milliseconds(), "Steps", r.stageTimings)
+		s.reject(id, r, string(dispatch.NoTarget), retryAfter)
 		return
 	}
 	s.Metrics.RecordJob("Assigned")
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -247,6 +247,12 @@
 			}
 			s.reassign(k.Again.GetID(), f)
 		})
+	case *clusterpb.Envelope_EngineNotice:
+		n := EngineNotice{
+			Target: k.EngineNotice.GetTarget(), Incarnation: k.EngineNotice.GetIncarnation(), Leaving: k.EngineNotice.GetLeaving(),
+			HeldFor: time.Duration(k.EngineNotice.GetHeldForMillis()) * time.Millisecond,
+		}
+		s.post(func() { s.applyEngineNotice(from, n) })
 	case *clusterpb.Envelope_Began:
 		s.post(func() { s.answerStarted(k.Began.GetID()) })
 	case *clusterpb.Envelope_Ended:
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -78,6 +78,10 @@
 	// header field without end, or a body without a length and without a blank line.
 	EndlessHead int
 	EndlessBody int
+	// RetryAfter, if not empty, is the Retry-After header of requests and calls that Shed rejects.
+	RetryAfter string
+	// RepeatCall is for stage targets: it answers a call with the answer to the last one, then runs it.
+	RepeatCall int
 	// CutPlain is for engines: it sends the first event and a part of the second with neither a length
 	// nor chunks, then closes the connection.
 	CutPlain int
@@ -121,8 +125,12 @@
 	// all that it ever computed.
 	storedHandles map[string]bool
 	resultCount   int
-	address       string
-	http          *http.Server
+	// leaving is the Server-Leaving header of all answers, empty for none.
+	leaving string
+	// lastCallAnswer is the body of the last answer to a call.
+	lastCallAnswer []byte
+	address        string
+	http           *http.Server
 	// crashed is set while the server is down after a crash, stopped once Stop was called.
 	crashed, stopped bool
 }
@@ -183,6 +191,13 @@
 	s.fault = f
 }
 
+// SetLeaving sets the Server-Leaving header of all answers; an empty value removes it.
+func (s *Server) SetLeaving(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = value
+}
+
 // Journal returns the requests that were run, in order.
 func (s *Server) Journal() []Execution {
 	s.mu.Lock()
@@ -244,6 +259,9 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, time.Now())
+	if s.leaving != "" {
+		w.Header().Set("Server-Leaving", s.leaving)
+	}
 	s.mu.Unlock()
 	if expected := r.Header.Get("X-Target-Instance"); expected != "" && expected != s.ID {
 		w.Header().Set("X-Instance-Id", s.ID)
@@ -274,6 +292,7 @@
 		return
 	}
 	if takeFault(&s.fault.Shed) || s.Profile.Slots > 0 && s.running >= s.Profile.Slots {
+		setRetryAfter(w, s.fault.RetryAfter)
 		s.mu.Unlock()
 		rejectNotRun(w, http.StatusServiceUnavailable)
 		return
@@ -330,6 +349,13 @@
 	})
 }
 
+// setRetryAfter sets the Retry-After header unless the value is empty.
+func setRetryAfter(w http.ResponseWriter, value string) {
+	if value != "" {
+		w.Header().Set("Retry-After", value)
+	}
+}
+
 // rejectNotRun answers with a status and states that the request was not run.
 func rejectNotRun(w http.ResponseWriter, status int) {
 	w.Header().Set("X-Not-Executed", "1")
--- a/internal/standin/service/stage.go
+++ b/internal/standin/service/stage.go
@@ -32,10 +32,12 @@
 	}
 	s.mu.Lock()
 	if takeFault(&s.fault.Shed) || s.running > 0 {
+		setRetryAfter(w, s.fault.RetryAfter)
 		s.mu.Unlock()
 		rejectNotRun(w, http.StatusServiceUnavailable)
 		return
 	}
+	repeat, last := takeFault(&s.fault.RepeatCall), s.lastCallAnswer
 	s.running++
 	s.mu.Unlock()
 	time.Sleep(s.Profile.Work + time.Duration(len(call.Items))*s.Profile.Piece)
@@ -61,9 +63,17 @@
 		answer.Items = append(answer.Items, item{Handle: handle})
 	}
 	s.running--
+	body, err := json.Marshal(answer)
+	if err != nil {
+		s.recordViolation("answer: %v", err)
+	}
+	s.lastCallAnswer = body
 	s.mu.Unlock()
+	if repeat {
+		body = last
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
+	_, _ = w.Write(body)
 }
 
 // checkPiece reports whether the inputs of a piece exist. It records a violation for a key or an
