fix(dialer): choose the port of a connection for its destination

Cause: every outgoing connection was bound to the host's address before its destination was known, so that each had a port of its own, also for a minute after its end. A daemon that connects often runs out of ports, and the search for a free one takes its processor time.

Ruled out: the store's client (its port had a tenth of those connections).

Tried without gain, and dropped: longer waits before failed links are opened again, and an allowance for how late the own loop runs.

--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
+	"github.com/sequoiapick/sequoiapick/internal/dialer"
 	"github.com/sequoiapick/sequoiapick/internal/event"
 )
 
@@ -178,14 +179,11 @@
 		case <-dialed:
 		}
 	}()
-	dialer := net.Dialer{}
-	if ip := net.ParseIP(hostOf(m.Self.Address)); ip != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: ip}
-	}
+	d := dialer.From(hostOf(m.Self.Address))
 	m.mu.Lock()
 	address := p.member.Address
 	m.mu.Unlock()
-	return dialer.DialContext(ctx, "tcp", address)
+	return d.DialContext(ctx, "tcp", address)
 }
 
 func hostOf(address string) string {
--- a/internal/entry/reachability.go
+++ b/internal/entry/reachability.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"time"
 
+	"github.com/sequoiapick/sequoiapick/internal/dialer"
 	"github.com/sequoiapick/sequoiapick/internal/event"
 	"github.com/sequoiapick/sequoiapick/internal/inventory"
 )
@@ -94,8 +94,8 @@
 }
 
 func (d *Daemon) canConnect(ctx context.Context, address string) bool {
-	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(d.settings.IP)}}
-	c, err := dialer.DialContext(ctx, "tcp", address)
+	from := dialer.From(d.settings.IP)
+	c, err := from.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return false
 	}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
 
+	"github.com/sequoiapick/sequoiapick/internal/dialer"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
 )
 
@@ -66,14 +67,11 @@
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
-	dialer := net.Dialer{Control: setSocketOptions}
-	if p.LocalAddress != "" {
-		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(p.LocalAddress)}
-	}
+	d := dialer.From(p.LocalAddress, setSocketOptions)
 	if p.OnDial != nil {
 		p.OnDial(address)
 	}
-	return dialer.DialContext(ctx, "tcp", address)
+	return d.DialContext(ctx, "tcp", address)
 }
 
 // confirmListening opens a connection to the address and stores it for the next request. If that
