fix(cluster): bound the links while members seem dead

Cause: a daemon links to the next-ranked members of a data centre until two are alive. While it has no processor time, all seem dead, so that it linked to all, and all to it; the links were never closed, since heartbeats arrive on them.

Change: members that were probed in vain are left, and probed again after a wait that doubles from 10 to 80 s; the hubs keep their links. A heartbeat says whether its sender needs the link; one that neither side needs is closed after 10 s. Daemons of versions without the field count as needing it.

--- a/internal/cluster/heartbeat.go
+++ b/internal/cluster/heartbeat.go
@@ -106,7 +106,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sendTimes.record(m.Clock.Now())
-	for _, p := range m.peers {
+	for host, p := range m.peers {
 		if !p.connected || !all && !m.fastHeartbeats(p) {
 			continue
 		}
@@ -117,6 +117,7 @@
 			HighestTerm:   m.election.HighestTerm(),
 			Stopping:      m.stopping,
 			Configuration: version,
+			Spare:         !m.required[host],
 		}}})
 	}
 }
@@ -127,7 +128,10 @@
 func (m *Mesh) handleHeartbeat(sender Member, beat *clusterpb.Beat) time.Time {
 	host := sender.Host
 	m.mu.Lock()
-	p := m.restorePeer(sender)
+	p := m.peers[host]
+	if p == nil && !beat.GetSpare() {
+		p = m.restorePeer(sender)
+	}
 	if p == nil {
 		m.mu.Unlock()
 		return time.Time{}
@@ -138,6 +142,7 @@
 	if echoed.After(p.echoedSendTime) {
 		p.echoedSendTime = echoed
 	}
+	p.spare = beat.GetSpare()
 	p.term, p.highestTerm = beat.GetTerm(), beat.GetHighestTerm()
 	mayChangeLeader := beat.GetStopping() != p.stopping || p.term > 0 && m.leader != host
 	p.stopping = beat.GetStopping()
@@ -148,7 +153,7 @@
 	return echoed
 }
 
-// restorePeer returns the peer of a member whose heartbeats arrive. It opens a link to the member if
+// restorePeer returns the peer of a member whose heartbeats arrive and who needs the link. It opens a link to the member if
 // there is none: the member may have been removed because the members table was read before it
 // had registered. It returns nil once this daemon stops.
 func (m *Mesh) restorePeer(sender Member) *peer {
--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -60,8 +60,12 @@
 	highestTerm uint64
 	stopping    bool
 	// incomingClosed means that the member's link to this daemon was closed and not replaced,
-	// dialRefused that its port refuses connections.
-	incomingClosed, dialRefused bool
+	// dialRefused that its port refuses connections, dialFailed that the last attempt to connect failed.
+	incomingClosed, dialRefused, dialFailed bool
+	// spare is set if the member doesn't need the link with this daemon.
+	spare bool
+	// usedAt is when an envelope other than a heartbeat was last queued.
+	usedAt time.Time
 }
 
 // ended reports whether the daemon is known to have ended. A closed link alone doesn't prove it,
@@ -123,6 +127,7 @@
 		if p.connected {
 			delay = 0
 		}
+		p.dialFailed = !p.connected
 		p.connected = false
 		p.dialRefused = errors.Is(err, syscall.ECONNREFUSED)
 		ended := p.ended()
@@ -222,7 +227,7 @@
 		return err
 	}
 	m.mu.Lock()
-	p.connected, p.connectedAt, p.dialRefused = true, m.Clock.Now(), false
+	p.connected, p.connectedAt, p.dialRefused, p.dialFailed = true, m.Clock.Now(), false, false
 	host := p.member.Host
 	m.mu.Unlock()
 	m.Handler.LinkOpened(host)
--- a/internal/cluster/mesh.go
+++ b/internal/cluster/mesh.go
@@ -80,7 +80,11 @@
 	// hubCache holds, by host, whether a daemon is a hub; nil if it must be computed again.
 	hubCache map[string]bool
 	// peers holds, by host, the members to which this daemon opens links; nil before Serve.
-	peers    map[string]*peer
+	peers map[string]*peer
+	// required holds the hosts of the links that this daemon needs, see requiredLinks.
+	required map[string]bool
+	// probes holds, by host, the members that seemed to be dead when there was last a link to them.
+	probes   map[string]probe
 	election Election
 	leader   string
 	stopping bool
@@ -193,6 +197,7 @@
 // removeMember removes a member and closes the link to it.
 func (m *Mesh) removeMember(host string) {
 	delete(m.members, host)
+	delete(m.probes, host)
 	m.hubCache = nil
 	if p := m.peers[host]; p != nil {
 		p.cancel()
@@ -209,6 +214,7 @@
 	if p == nil || !p.connected {
 		return false
 	}
+	p.usedAt = m.Clock.Now()
 	return p.enqueue(e)
 }
 
