perf(placement): compare engines without garbage

Cause: the choice of an engine computed the keys of the prompt's parts, the tokens cached anywhere and the sum of all unread tokens anew for each engine, in the order of a map.

--- a/internal/placement/hold.go
+++ b/internal/placement/hold.go
@@ -46,7 +46,7 @@
 // false unless all engines that serve them are held for it.
 func (s *Selector) HeldFor(now time.Time, r Request) (wait time.Duration, allHeld bool) {
 	r.Exclude = nil // another attempt of the client may be sent to any engine
-	for _, e := range s.engines {
+	for _, e := range s.byService[r.Service] {
 		if !e.serves(r) {
 			continue
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -21,6 +21,8 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/pace"
@@ -101,7 +103,9 @@
 // Selector holds the state of all engines as far as it is known. Use New to create one. It
 // isn't safe for concurrent use.
 type Selector struct {
-	engines         map[string]*engine
+	engines map[string]*engine
+	// byService holds the engines of each service, sorted by ID.
+	byService       map[string][]*engine
 	engineByRequest map[string]*engine
 	requests        map[string]Request
 	services        map[string]service.Engine
@@ -122,6 +126,8 @@
 	// unreadTokens holds the number of prompt tokens that the engine must still read, by the
 	// request's ID.
 	unreadTokens map[string]int
+	// unreadSum is the sum of unreadTokens.
+	unreadSum int
 	// cache is the assumed content of the engine's cache; the engine doesn't report it.
 	cache cache
 	// coldLimiter limits the rate of requests while the engine is cold.
@@ -140,6 +146,7 @@
 func New() *Selector {
 	return &Selector{
 		engines:         map[string]*engine{},
+		byService:       map[string][]*engine{},
 		engineByRequest: map[string]*engine{},
 		requests:        map[string]Request{},
 		services:        map[string]service.Engine{},
@@ -177,6 +184,16 @@
 			delete(s.engines, id)
 		}
 	}
+	s.groupEngines()
+}
+
+// groupEngines sets byService.
+func (s *Selector) groupEngines() {
+	clear(s.byService)
+	for _, id := range slices.Sorted(maps.Keys(s.engines)) {
+		e := s.engines[id]
+		s.byService[e.Service] = append(s.byService[e.Service], e)
+	}
 }
 
 // Choose returns the engine with the lowest cost and records that the request is sent there.
@@ -196,7 +213,7 @@
 // applies while it is cold, allowed it. After Choose has returned false, the request can then be
 // sent later.
 func (s *Selector) HeldByColdRate(now time.Time, r Request) bool {
-	for _, e := range s.engines {
+	for _, e := range s.byService[r.Service] {
 		if s.accepts(now, e, r) && !e.coldLimiter.Allows(now) {
 			return true
 		}
@@ -216,13 +233,16 @@
 
 // record records that the request is sent to the engine.
 func (s *Selector) record(now time.Time, r Request, e *engine) {
+	keys := partKeys(r)
 	e.running[r.ID] = true
-	e.unreadTokens[r.ID] = r.PromptTokens - e.cache.cachedTokens(r.Model, r.Parts)
-	e.cache.add(r.Model, r.Parts)
+	unread := r.PromptTokens - e.cache.cachedTokens(keys, r.Parts)
+	e.unreadTokens[r.ID] = unread
+	e.unreadSum += unread
+	e.cache.add(keys, r.Parts)
 	s.engineByRequest[r.ID] = e
 	s.requests[r.ID] = r
-	for _, part := range r.Parts {
-		s.lastUse[partKey(r.Model, part.ID)] = now
+	for _, key := range keys {
+		s.lastUse[key] = now
 	}
 	s.trimLastUse(now)
 }
@@ -256,34 +276,49 @@
 func (s *Selector) cheapest(now time.Time, r Request) *engine {
 	var cheapest *engine
 	var lowest float64
-	for _, e := range s.engines {
+	c := s.costOf(now, r)
+	for _, e := range s.byService[r.Service] {
 		if !s.accepts(now, e, r) || !e.coldLimiter.Allows(now) {
 			continue
 		}
-		cost := s.cost(now, e, r)
-		if cheapest == nil || cost < lowest || cost == lowest && e.ID < cheapest.ID {
+		cost := c.at(e)
+		if cheapest == nil || cost < lowest {
 			cheapest, lowest = e, cost
 		}
 	}
 	return cheapest
 }
 
-// cost returns the cost of sending the request to the engine, in milliseconds of time to the
-// first token.
-func (s *Selector) cost(now time.Time, e *engine, r Request) float64 {
-	cached := e.cache.cachedTokens(r.Model, r.Parts)
-	unread := r.PromptTokens - cached
-	pending := unread
-	for _, tokens := range e.unreadTokens {
-		pending += tokens
+// requestCost holds what the costs of all engines for a request have in common.
+type requestCost struct {
+	request Request
+	// keys are the keys of the parts of the prompt.
+	keys []string
+	// cachedAnywhere is the number of tokens at the start of the prompt that some engine has cached.
+	cachedAnywhere int
+	// inputBytes is the size of all inputs.
+	inputBytes int64
+	// slots is the number of requests that an engine runs at a time.
+	slots int
+}
+
+func (s *Selector) costOf(now time.Time, r Request) requestCost {
+	c := requestCost{request: r, keys: partKeys(r), slots: s.services[r.Service].Slots}
+	c.cachedAnywhere = s.tokensCachedAnywhere(now, c.keys, r.Parts)
+	for _, bytes := range r.InputBytes {
+		c.inputBytes += bytes
 	}
+	return c
+}
+
+// at returns the cost of sending the request to the engine, in milliseconds of time to the first token.
+func (c *requestCost) at(e *engine) float64 {
+	r := &c.request
+	cached := e.cache.cachedTokens(c.keys, r.Parts)
+	pending := r.PromptTokens - cached + e.unreadSum
 	cost := float64(pending)/promptTokensPerMillisecond + float64(len(e.running))*perRunningRequestMillis
-	cost += float64(s.tokensCachedAnywhere(now, r)-cached) * rereadMillisPerToken
-	for dataCentre, bytes := range r.InputBytes {
-		if dataCentre != e.DataCentre {
-			cost += float64(bytes) * crossDataCentreMillisPerByte
-		}
-	}
+	cost += float64(c.cachedAnywhere-cached) * rereadMillisPerToken
+	cost += float64(c.inputBytes-r.InputBytes[e.DataCentre]) * crossDataCentreMillisPerByte
 	if r.DataCentre != e.DataCentre {
 		cost += remoteMillis
 	}
@@ -293,7 +328,7 @@
 	if e.Cold {
 		cost += coldMillis
 	}
-	if excess := len(e.running) + 1 - s.services[e.Service].Slots; excess > 0 {
+	if excess := len(e.running) + 1 - c.slots; excess > 0 {
 		cost += float64(excess) * perExcessRequestMillis
 	}
 	return cost
@@ -301,14 +336,14 @@
 
 // tokensCachedAnywhere returns the number of tokens at the start of the prompt that some
 // engine has read within CacheLifetime.
-func (s *Selector) tokensCachedAnywhere(now time.Time, r Request) int {
+func (s *Selector) tokensCachedAnywhere(now time.Time, keys []string, parts []Part) int {
 	tokens := 0
-	for _, part := range r.Parts {
-		last, ok := s.lastUse[partKey(r.Model, part.ID)]
+	for i, key := range keys {
+		last, ok := s.lastUse[key]
 		if !ok || now.Sub(last) > s.CacheLifetime {
 			break
 		}
-		tokens += part.Tokens
+		tokens += parts[i].Tokens
 	}
 	return tokens
 }
@@ -331,10 +366,16 @@
 // PromptRead records that the engine has read the prompt of the request with this ID.
 func (s *Selector) PromptRead(id string) {
 	if e := s.engineByRequest[id]; e != nil {
-		delete(e.unreadTokens, id)
+		e.removeUnread(id)
 	}
 }
 
+// removeUnread removes the tokens that the engine must still read for a request.
+func (e *engine) removeUnread(id string) {
+	e.unreadSum -= e.unreadTokens[id]
+	delete(e.unreadTokens, id)
+}
+
 // Remove removes a request that is over or will be sent to another engine.
 func (s *Selector) Remove(id string) {
 	s.removeRequest(id)
@@ -347,68 +388,7 @@
 		return
 	}
 	delete(e.running, id)
-	delete(e.unreadTokens, id)
+	e.removeUnread(id)
 	delete(s.engineByRequest, id)
 	delete(s.requests, id)
 }
-
-// partKey returns the key of a prompt part in caches and lastUse. Models don't share parts.
-func partKey(model, id string) string { return model + "/" + id }
-
-// cache models the parts that an engine has cached, with least recently used eviction.
-type cache struct {
-	// maxTokens is the capacity in tokens, 0 means unlimited; tokens is the size of all cached
-	// parts.
-	maxTokens int
-	tokens    int
-	// order holds the keys from the least to the most recently used.
-	order []string
-	// parts maps the keys to the sizes in tokens.
-	parts map[string]int
-}
-
-// cachedTokens returns the number of tokens at the start of the prompt that the engine has
-// cached.
-func (c *cache) cachedTokens(model string, parts []Part) int {
-	tokens := 0
-	for _, part := range parts {
-		if _, ok := c.parts[partKey(model, part.ID)]; !ok {
-			break
-		}
-		tokens += part.Tokens
-	}
-	return tokens
-}
-
-// add adds the parts as the most recently used ones, and evicts the least recently used ones
-// beyond maxTokens.
-func (c *cache) add(model string, parts []Part) {
-	if c.parts == nil {
-		c.parts = map[string]int{}
-	}
-	for _, part := range parts {
-		c.touch(partKey(model, part.ID), part.Tokens)
-	}
-	for c.maxTokens > 0 && c.tokens > c.maxTokens && len(c.order) > 0 {
-		oldest := c.order[0]
-		c.order = c.order[1:]
-		c.tokens -= c.parts[oldest]
-		delete(c.parts, oldest)
-	}
-}
-
-// touch adds one part, or makes it the most recently used one.
-func (c *cache) touch(key string, tokens int) {
-	if previous, ok := c.parts[key]; ok {
-		c.tokens -= previous
-		for i, k := range c.order {
-			if k == key {
-				c.order = append(c.order[:i], c.order[i+1:]...)
-				break
-			}
-		}
-	}
-	c.parts[key] = tokens
-	c.tokens += tokens
-	c.order = append(c.order, key)
-}
