perf(dispatch): plan with what has changed

Cause: each event sorted the queues of all services, simulated all targets for each late task, and looked up services, kinds and tasks by name or by going through the queue; each tick computed the pending work of each job four times, the capacity of each target in 30 steps, and checked the jobs of all calls for inputs to free.

Change: only services are planned where pieces were queued, or targets or memory have become free (all at each tick); the simulation is left out where as many targets are free as calls are needed, and is a heap otherwise; stages keep their service, kind and task; capacity grows from the step in which a target is free; inputs are checked when a call has had the time to fetch them, or memory has become short.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -52,11 +52,9 @@
 	if p.Order != ByValue {
 		return
 	}
-	forecasts := map[string]*capacityForecast{}
 	for _, pl := range p.pools {
-		forecasts[pl.name] = pl.forecast(now)
+		pl.forecast = pl.newForecast(now)
 	}
-	p.forecasts = forecasts
 	jobs := make([]*job, 0, len(p.jobs))
 	for _, j := range p.jobs {
 		if !j.finished {
@@ -64,12 +62,13 @@
 		}
 	}
 	for _, j := range jobs {
-		p.forEachUnstartedStage(j, func(s *stageState, work time.Duration) {
-			forecasts[s.spec.Service].demand += work
-		})
+		j.findPendingWork()
+		for _, w := range j.pending {
+			w.stage.pool.forecast.demand += w.work
+		}
 	}
 	for _, j := range jobs {
-		j.bottleneck, j.valueDensity = p.valueDensity(j, forecasts)
+		j.bottleneck, j.valueDensity = j.density()
 	}
 	slices.SortFunc(jobs, func(a, b *job) int {
 		switch {
@@ -86,9 +85,9 @@
 		}
 	})
 	for _, j := range jobs {
-		j.deferred = !p.reserve(now, j, forecasts)
+		j.deferred = !p.reserve(now, j)
 	}
-	p.rejectDeferred(now, jobs, forecasts)
+	p.rejectDeferred(now, jobs)
 }
 
 // admitNew decides on one new job against the forecasts of the last admitAll, which the next
@@ -98,16 +97,26 @@
 		return
 	}
 	for _, s := range j.stages {
-		if p.forecasts[s.spec.Service] == nil && len(s.results) > 0 {
+		if s.pool.forecast == nil && len(s.results) > 0 {
 			return // the service is newer than the forecasts; the job counts as admitted
 		}
 	}
-	j.deferred = !p.reserve(now, j, p.forecasts)
+	j.findPendingWork()
+	j.deferred = !p.reserve(now, j)
+}
+
+// pendingWork is the target time, in full calls, of the pieces of a stage that have neither a result nor
+// a running call.
+type pendingWork struct {
+	stage *stageState
+	work  time.Duration
+	// available is the time in which the work must be done, as of the last reservation.
+	available time.Duration
 }
 
-// forEachUnstartedStage calls f for each stage of the job that has pieces without a result and
-// without a running call. Work is the target time of these pieces in full calls.
-func (p *Planner) forEachUnstartedStage(j *job, f func(s *stageState, work time.Duration)) {
+// findPendingWork sets pending.
+func (j *job) findPendingWork() {
+	j.pending = j.pending[:0]
 	for _, s := range j.stages {
 		pieces := 0
 		for i := range s.results {
@@ -118,15 +127,15 @@
 		if pieces == 0 || s.released {
 			continue
 		}
-		pl := p.pool(s.spec.Service)
-		timePerPiece := pl.batch.CallTime/time.Duration(pl.batch.MaxPieces) + pl.pieceTime(s.spec.Kind)
-		f(s, time.Duration(pieces)*timePerPiece)
+		timePerPiece := s.pool.batch.CallTime/time.Duration(s.pool.batch.MaxPieces) + s.pieceTime()
+		j.pending = append(j.pending, pendingWork{stage: s, work: time.Duration(pieces) * timePerPiece})
 	}
 }
 
-// forecast returns the capacity of the service's targets, with nothing reserved.
-func (pl *pool) forecast(now time.Time) *capacityForecast {
+// newForecast returns the capacity of the service's targets, with nothing reserved.
+func (pl *pool) newForecast(now time.Time) *capacityForecast {
 	f := &capacityForecast{}
+	var speeds, offsets [forecastSteps]float64
 	open := 0
 	for _, t := range pl.targets {
 		if t.Closed {
@@ -136,13 +145,20 @@
 			f.heldFor = heldFor
 		}
 		open++
-		free := t.freeAt(now).Sub(now)
-		for i := range f.capacity {
-			if left := time.Duration(i+1)*forecastStep - free; left > 0 {
-				f.capacity[i] += time.Duration(usableCapacityShare * float64(left) / max(t.slowness, 1))
-			}
+		// From the step in which the target is free on, its capacity grows by its speed.
+		free := float64(t.freeAt(now).Sub(now))
+		speed := usableCapacityShare / max(t.slowness, 1)
+		if first := int(free / float64(forecastStep)); first < forecastSteps {
+			speeds[first] += speed
+			offsets[first] += speed * free
 		}
 	}
+	speed, offset := 0.0, 0.0
+	for i := range f.capacity {
+		speed += speeds[i]
+		offset += offsets[i]
+		f.capacity[i] = time.Duration(speed*float64(time.Duration(i+1)*forecastStep) - offset)
+	}
 	return f
 }
 
@@ -154,16 +170,16 @@
 	return float64(f.demand) / float64(f.capacity[forecastSteps-1])
 }
 
-// valueDensity returns the job's bottleneck, which is the service for which the product of the
+// density returns the job's bottleneck, which is the service for which the product of the
 // job's work and the service's pressure is largest, and the job's value divided by this product
-// (with the work in seconds). It returns +Inf if the job has no unstarted work.
-func (p *Planner) valueDensity(j *job, forecasts map[string]*capacityForecast) (bottleneck string, density float64) {
+// (with the work in seconds). It returns +Inf if the job has no pending work.
+func (j *job) density() (bottleneck *pool, density float64) {
 	weight := 0.0
-	p.forEachUnstartedStage(j, func(s *stageState, work time.Duration) {
-		if w := work.Seconds() * forecasts[s.spec.Service].pressure(); w > weight {
-			bottleneck, weight = s.spec.Service, w
+	for _, w := range j.pending {
+		if product := w.work.Seconds() * w.stage.pool.forecast.pressure(); product > weight {
+			bottleneck, weight = w.stage.pool, product
 		}
-	})
+	}
 	if weight <= 0 {
 		return bottleneck, math.Inf(1)
 	}
@@ -174,21 +190,19 @@
 // meet their soft deadlines. If they don't, nothing is reserved. The forecast treats work as
 // continuous although results exist only at the end of a call, so half of the fixed time of a
 // call is subtracted from the time until the work is due.
-func (p *Planner) reserve(now time.Time, j *job, forecasts map[string]*capacityForecast) bool {
-	fits := true
-	p.forEachUnstartedStage(j, func(s *stageState, work time.Duration) {
-		due := j.SoftDeadline.Add(-p.timeAfter(s))
-		if now.Add(p.minCallTime(s)).After(due) || !forecasts[s.spec.Service].fits(due.Sub(now)-p.pool(s.spec.Service).batch.CallTime/2, work) {
-			fits = false
+func (p *Planner) reserve(now time.Time, j *job) bool {
+	for i := range j.pending {
+		w := &j.pending[i]
+		until := j.SoftDeadline.Add(-p.timeAfter(w.stage)).Sub(now)
+		available := until - w.stage.pool.batch.CallTime/2
+		if p.minCallTime(w.stage) > until || !w.stage.pool.forecast.fits(available, w.work) {
+			return false
 		}
-	})
-	if !fits {
-		return false
+		w.available = available
+	}
+	for _, w := range j.pending {
+		w.stage.pool.forecast.reserve(w.available, w.work)
 	}
-	p.forEachUnstartedStage(j, func(s *stageState, work time.Duration) {
-		due := j.SoftDeadline.Add(-p.timeAfter(s))
-		forecasts[s.spec.Service].reserve(due.Sub(now)-p.pool(s.spec.Service).batch.CallTime/2, work)
-	})
 	return true
 }
 
@@ -223,16 +237,15 @@
 // rejectDeferred rejects deferred jobs whose bottleneck has no capacity left for late work:
 // those that haven't started, and those that have and are past their soft deadline. Otherwise
 // they would wait until their deadline and hold result memory that other jobs need.
-func (p *Planner) rejectDeferred(now time.Time, jobs []*job, forecasts map[string]*capacityForecast) {
+func (p *Planner) rejectDeferred(now time.Time, jobs []*job) {
 	for _, j := range jobs {
 		if !j.deferred || j.started && now.Before(j.SoftDeadline) {
 			continue
 		}
-		f := forecasts[j.bottleneck]
-		if f == nil || f.pressure() < rejectPressure {
+		if j.bottleneck == nil || j.bottleneck.forecast.pressure() < rejectPressure {
 			continue
 		}
-		p.reject(j, Reject{Job: j.ID, Reason: Overloaded, RetryAfter: f.retryAfter(), Service: j.bottleneck})
+		p.reject(j, Reject{Job: j.ID, Reason: Overloaded, RetryAfter: j.bottleneck.forecast.retryAfter(), Service: j.bottleneck.name})
 	}
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 )
 
@@ -71,8 +72,9 @@
 
 // endCall removes a call, whatever its outcome.
 func (p *Planner) endCall(c *call) {
+	c.target.pool.changed = true
 	delete(p.calls, c.id)
-	delete(c.target.running, c.id)
+	c.target.running = slices.DeleteFunc(c.target.running, func(other *call) bool { return other == c })
 	if c.target.externalCall == c {
 		c.target.externalCall = nil
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -110,10 +110,8 @@
 	// their targets; they are freed at claimDeadline.
 	inherited     map[string]*targetState
 	claimDeadline time.Time
-	// now is the time of the event that is being handled.
-	now time.Time
-	// forecasts are those of the last admitAll, by service.
-	forecasts map[string]*capacityForecast
+	// now is the time of the event that is being handled, lastTick that of the last Tick.
+	now, lastTick time.Time
 }
 
 // New returns a planner without services, targets and jobs.
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -85,13 +85,13 @@
 // reportHandoverComplete reports the handed-over jobs of the ended call that have no other
 // running call.
 func (p *Planner) reportHandoverComplete(ended *call) {
-	reported := map[string]bool{}
+	var reported []string
 	for _, ref := range ended.pieces {
 		j := ref.stage.job
-		if !j.handedOver || reported[j.ID] || p.hasRunningCall(j) {
+		if !j.handedOver || slices.Contains(reported, j.ID) || p.hasRunningCall(j) {
 			continue
 		}
-		reported[j.ID] = true
+		reported = append(reported, j.ID)
 		p.actions = append(p.actions, HandoverComplete{Job: j.ID})
 	}
 }
@@ -164,7 +164,8 @@
 	if c == nil {
 		p.nextCall++
 		c = &call{id: p.nextCall, target: t, started: p.now}
-		t.externalCall, t.running[c.id], p.calls[c.id] = c, c, c
+		t.externalCall, p.calls[c.id] = c, c
+		t.running = append(t.running, c)
 	}
 	c.pieces = append(c.pieces, pieceRef{s, r.Index})
 	c.bytes += s.spec.ResultBytes
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -95,8 +95,10 @@
 	// deferred is set if the job isn't admitted: the forecast has no capacity for it to meet
 	// its soft deadline. Its tasks then come after those of admitted jobs.
 	deferred bool
-	// bottleneck and valueDensity are the results of Planner.valueDensity.
-	bottleneck   string
+	// pending is the work that no call runs yet, as of the last admission.
+	pending []pendingWork
+	// bottleneck and valueDensity are the results of density.
+	bottleneck   *pool
 	valueDensity float64
 }
 
@@ -108,7 +110,8 @@
 	}
 	state := &job{Job: j, submitted: now, finished: j.InputsDelivered}
 	for i, spec := range j.Stages {
-		s := &stageState{job: state, index: i, spec: spec, results: make([]result, spec.Pieces), missing: spec.Pieces}
+		pl := p.pool(spec.Service)
+		s := &stageState{job: state, index: i, spec: spec, pool: pl, kind: pl.kind(spec.Kind), results: make([]result, spec.Pieces), missing: spec.Pieces}
 		state.stages = append(state.stages, s)
 	}
 	p.jobs[j.ID] = state
@@ -331,8 +334,8 @@
 		return
 	}
 	r.StageTimings = p.StageTimings(j.ID)
-	if f := p.forecasts[r.Service]; f != nil {
-		r.Pressure = f.pressure()
+	if pl := p.poolByService[r.Service]; pl != nil && pl.forecast != nil {
+		r.Pressure = pl.forecast.pressure()
 	}
 	p.dropJob(j)
 	p.actions = append(p.actions, r)
--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -14,9 +14,8 @@
 	localityMargin = 60 * time.Millisecond
 )
 
-// preferredDataCentre returns the data centre in which the task's pieces should run, and the
-// number of bytes that cross data centres otherwise. It is the first of these for which at least
-// minCrossBytes would cross:
+// preferredDataCentre returns the data centre in which the task's pieces should run. It is the first of
+// these for which at least minCrossBytes would cross data centres otherwise:
 //
 //   - the one with most of the inputs;
 //   - for large results, the one to which pieces of the same stage were sent already, since the
@@ -24,11 +23,11 @@
 //   - for large results of a final stage, Job.DataCentre.
 //
 // It is empty if there is none.
-func (t *task) preferredDataCentre() (dataCentre string, bytes int64) {
+func (t *task) preferredDataCentre() string {
 	s := t.stage
 	j := s.job
-	if dataCentre, bytes = mostBytes(j, s.spec.After); bytes*int64(max(len(t.waiting), 1)) >= minCrossBytes {
-		return dataCentre, bytes * int64(max(len(t.waiting), 1))
+	if dataCentre, bytes := mostBytes(j, s.spec.After); bytes*int64(max(len(t.waiting), 1)) >= minCrossBytes {
+		return dataCentre
 	}
 	consumers := int64(0)
 	for _, other := range j.stages {
@@ -36,23 +35,27 @@
 			consumers += int64(len(other.results))
 		}
 	}
-	if crossing := s.spec.ResultBytes * max(consumers, 1) * int64(len(t.waiting)); crossing >= minCrossBytes {
+	if s.spec.ResultBytes*max(consumers, 1)*int64(len(t.waiting)) >= minCrossBytes {
 		if s.lastDataCentre != "" {
-			return s.lastDataCentre, crossing
+			return s.lastDataCentre
 		}
 		if consumers == 0 {
-			return j.DataCentre, crossing
+			return j.DataCentre
 		}
 	}
-	return "", 0
+	return ""
 }
 
 // mostBytes returns the data centre that stores most of the stages' results, and their size in
 // bytes.
 func mostBytes(j *job, stages []int) (dataCentre string, most int64) {
+	if len(stages) == 0 {
+		return "", 0
+	}
 	bytes := map[string]int64{}
 	for _, index := range stages {
-		for _, r := range j.stages[index].results {
+		for i := range j.stages[index].results {
+			r := &j.stages[index].results[i]
 			if r.target == nil {
 				continue
 			}
@@ -76,8 +79,17 @@
 }
 
 func newDataCentreSchedule(now time.Time, pl *pool) *dataCentreSchedule {
-	s := &dataCentreSchedule{now: now, pool: pl, freeAt: map[string]time.Time{}, held: map[string]int{}, targetCount: map[string]int{}}
-	for _, t := range pl.targets {
+	return &dataCentreSchedule{now: now, pool: pl}
+}
+
+// fill computes the schedule on its first use: most tasks may run at any target.
+func (s *dataCentreSchedule) fill() {
+	if s.freeAt != nil {
+		return
+	}
+	now := s.now
+	s.freeAt, s.held, s.targetCount = map[string]time.Time{}, map[string]int{}, map[string]int{}
+	for _, t := range s.pool.targets {
 		if t.Closed || t.slowness >= slowThreshold {
 			continue
 		}
@@ -87,7 +99,6 @@
 			s.freeAt[t.DataCentre] = at
 		}
 	}
-	return s
 }
 
 // freeAt returns when the target can run its next call.
@@ -107,25 +118,26 @@
 	return at
 }
 
-// mayRun reports whether the target may run the task now. It may not if the task can wait for a
-// target in its preferred data centre, behind the pieces that are held for it already, and still
+// mayRunAnywhere reports whether the task may run now outside of its preferred data centre. It may not
+// if it can wait for a target there, behind the pieces that are held for it already, and still
 // be done localityMargin before its due time. Deferred tasks run at any target.
-func (s *dataCentreSchedule) mayRun(target *targetState, t *task, preferred string, bytes int64) bool {
-	if preferred == "" || target.DataCentre == preferred || t.deferred {
+func (s *dataCentreSchedule) mayRunAnywhere(t *task, preferred string) bool {
+	if preferred == "" || t.deferred {
 		return true
 	}
+	s.fill()
 	at, ok := s.freeAt[preferred]
 	if !ok {
 		return true
 	}
-	fullCallTime := s.pool.batch.CallTime + s.pool.batch.PieceTime*time.Duration(s.pool.batch.MaxPieces)
-	waits := time.Duration(s.held[preferred]/(s.pool.batch.MaxPieces*max(s.targetCount[preferred], 1))) * fullCallTime
-	end := at.Add(waits + s.pool.batch.CallTime + s.pool.batch.PieceTime*time.Duration(s.pool.batch.MaxPieces))
-	return end.Add(localityMargin).After(t.due)
+	batch := &s.pool.batch
+	fullCallTime := batch.CallTime + batch.PieceTime*time.Duration(batch.MaxPieces)
+	waits := time.Duration(s.held[preferred]/(batch.MaxPieces*max(s.targetCount[preferred], 1))) * fullCallTime
+	return at.Add(waits + fullCallTime + localityMargin).After(t.due)
 }
 
 // addHeld counts the pieces of a task that waits for a target in its preferred data centre.
 func (s *dataCentreSchedule) addHeld(t *task) {
-	preferred, _ := t.preferredDataCentre()
-	s.held[preferred] += len(t.waiting)
+	s.fill()
+	s.held[t.preferredDataCentre()] += len(t.waiting)
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -35,20 +35,40 @@
 		}
 		p.rejectLate(now, pl)
 	}
-	p.freeFetchedInputs()
+	p.freeFetchedInputs(now)
 	p.freeUnclaimed(now)
 	p.admitAll(now)
+	for _, pl := range p.pools {
+		pl.changed = true // pauses end, and tasks that wait for a data centre may become urgent
+	}
 	p.startCalls(now)
 	return p.takeActions()
 }
 
-// freeFetchedInputs frees the inputs that running calls have fetched.
-func (p *Planner) freeFetchedInputs() {
-	seen := map[*job]bool{}
+// freeFetchedInputs frees the inputs that running calls have fetched, where result memory is short. It
+// looks at the calls that have had the time to fetch them since the last tick, or at all calls if memory
+// has become short since.
+func (p *Planner) freeFetchedInputs(now time.Time) {
+	last := p.lastTick
+	p.lastTick = now
+	anyShort, newlyShort := false, last.Before(p.formerCallsEndAt)
+	for _, pl := range p.pools {
+		short := pl.memoryShort()
+		anyShort = anyShort || short
+		newlyShort = newlyShort || short && !pl.wasShort
+		pl.wasShort = short
+	}
+	if !anyShort {
+		return
+	}
 	for _, id := range slices.Sorted(maps.Keys(p.calls)) {
-		for _, ref := range p.calls[id].pieces {
-			if j := ref.stage.job; !seen[j] && p.jobs[j.ID] == j {
-				seen[j] = true
+		c := p.calls[id]
+		fetchedAt := c.started.Add(inputFetchTime)
+		if !newlyShort && c.target.externalCall != c && (now.Before(fetchedAt) || !last.Before(fetchedAt)) {
+			continue
+		}
+		for _, ref := range c.pieces {
+			if j := ref.stage.job; p.jobs[j.ID] == j {
 				p.advance(j)
 			}
 		}
@@ -85,13 +105,16 @@
 	}
 }
 
-// startCalls starts calls while targets are free and pieces wait.
+// startCalls starts calls while targets are free and pieces wait, at the services where that has changed.
 func (p *Planner) startCalls(now time.Time) {
 	for _, pl := range p.pools {
-		if len(pl.tasks) == 0 {
+		if !pl.changed {
 			continue
 		}
-		p.startPoolCalls(now, pl)
+		pl.changed = false
+		if len(pl.tasks) > 0 {
+			p.startPoolCalls(now, pl)
+		}
 	}
 }
 
@@ -123,8 +146,7 @@
 // minCallTime returns the duration of a call that carries only the missing pieces of the stage,
 // or as many of them as fit.
 func (p *Planner) minCallTime(s *stageState) time.Duration {
-	pl := p.pool(s.spec.Service)
-	return pl.batch.CallTime + pl.pieceTime(s.spec.Kind)*time.Duration(min(s.missing, pl.batch.MaxPieces))
+	return s.pool.batch.CallTime + s.pieceTime()*time.Duration(min(s.missing, s.pool.batch.MaxPieces))
 }
 
 // startPoolCalls starts calls of one service. Tasks that should wait for a target in their
@@ -154,7 +176,13 @@
 			i++
 		}
 	}
-	pl.tasks = slices.DeleteFunc(pl.tasks, func(t *task) bool { return len(t.waiting) == 0 })
+	pl.tasks = slices.DeleteFunc(pl.tasks, func(t *task) bool {
+		if len(t.waiting) > 0 {
+			return false
+		}
+		t.stage.task = nil
+		return true
+	})
 }
 
 // freeTargets returns the targets that can run a call now.
@@ -173,10 +201,11 @@
 // that a later criterion never outweighs an earlier one. It returns -1 if the task should wait
 // for a target in its preferred data centre.
 func (pl *pool) choose(free []*targetState, t *task, schedule *dataCentreSchedule) int {
-	preferred, bytes := t.preferredDataCentre()
+	preferred := t.preferredDataCentre()
 	best, bestScore := -1, -1.0
+	anywhere := schedule.mayRunAnywhere(t, preferred)
 	for i, f := range free {
-		if !schedule.mayRun(f, t, preferred, bytes) {
+		if !anywhere && f.DataCentre != preferred {
 			continue
 		}
 		score := 0.0
@@ -206,8 +235,8 @@
 		if len(c.pieces) >= pl.batch.MaxPieces {
 			break
 		}
-		preferred, bytes := tk.preferredDataCentre()
-		if schedule.mayRun(t, tk, preferred, bytes) {
+		preferred := tk.preferredDataCentre()
+		if t.DataCentre == preferred || schedule.mayRunAnywhere(tk, preferred) {
 			p.addPieces(now, pl, c, tk, &pieces)
 		}
 	}
@@ -218,7 +247,7 @@
 	p.nextCall++
 	c.id = p.nextCall
 	p.calls[c.id] = c
-	t.running[c.id] = c
+	t.running = append(t.running, c)
 	t.usedBytes += c.bytes
 	p.actions = append(p.actions, StartCall{Call: c.id, Target: t.Target, Pieces: pieces, Started: now, Expected: c.expected, Bytes: c.bytes})
 	return true
@@ -247,7 +276,7 @@
 		}
 		c.pieces = append(c.pieces, pieceRef{s, index})
 		c.bytes += s.spec.ResultBytes
-		c.expected += pl.pieceTime(s.spec.Kind)
+		c.expected += s.pieceTime()
 		s.results[index].calls++
 		s.results[index].calledAt = now
 		s.lastDataCentre = c.target.DataCentre
--- a/internal/dispatch/queue_order.go
+++ b/internal/dispatch/queue_order.go
@@ -35,6 +35,7 @@
 	var deferred []*task
 	for _, t := range pl.tasks {
 		t.due = t.stage.job.SoftDeadline.Add(-p.timeAfter(t.stage))
+		t.left = t.due.Sub(now)
 		t.valueDensity = p.taskValueDensity(pl, t)
 		t.deferred = p.Order == ByValue && (t.stage.job.deferred || now.Add(p.minCallTime(t.stage)).After(t.due))
 		if t.deferred {
@@ -44,11 +45,15 @@
 		onTime = append(onTime, t)
 	}
 	slices.SortStableFunc(onTime, func(a, b *task) int { return a.due.Compare(b.due) })
+	var targets []simulatedTarget
+	if p.Order == ByValue && !pl.allOnTime(now, onTime) {
+		targets = pl.simulatedTargets(now)
+	}
 	for range maxDeferredPerSort {
-		if p.Order == ByDue {
+		if len(targets) == 0 {
 			break
 		}
-		n := pl.firstLateTask(now, onTime)
+		n := pl.firstLateTask(targets, onTime)
 		if n < 0 {
 			break
 		}
@@ -76,10 +81,10 @@
 }
 
 // taskValueDensity returns the value of the task's job per second of target time that the
-// waiting pieces need in this service, in full calls. Unlike Planner.valueDensity, it looks at
+// waiting pieces need in this service, in full calls. Unlike job.density, it looks at
 // one queue only and ignores the pressure.
 func (p *Planner) taskValueDensity(pl *pool, t *task) float64 {
-	timePerPiece := pl.batch.CallTime/time.Duration(pl.batch.MaxPieces) + pl.pieceTime(t.stage.spec.Kind)
+	timePerPiece := pl.batch.CallTime/time.Duration(pl.batch.MaxPieces) + t.stage.pieceTime()
 	work := timePerPiece * time.Duration(max(len(t.waiting), 1))
 	value := t.stage.job.Value
 	if len(t.stage.spec.After) > 0 {
@@ -96,63 +101,108 @@
 		if len(other.results) == 0 || !slices.Contains(other.spec.After, s.index) {
 			continue
 		}
-		longest = max(longest, p.minCallTime(other)+p.pool(other.spec.Service).typicalWait+p.timeAfter(other))
+		longest = max(longest, p.minCallTime(other)+other.pool.typicalWait+p.timeAfter(other))
 	}
 	return longest
 }
 
-// simulatedTarget is the state of a target in the simulation of firstLateTask: when it is free
-// for its next call, and its slowness, which is 1 at least.
+// allOnTime reports whether so many targets are free that all tasks, which are sorted by due time, are
+// obviously on time: each call that they need starts now and ends before the first is due.
+func (pl *pool) allOnTime(now time.Time, tasks []*task) bool {
+	pieces, pieceTime := 0, time.Duration(0)
+	for _, t := range tasks {
+		pieces += len(t.waiting)
+		pieceTime = max(pieceTime, t.stage.pieceTime())
+	}
+	if pieces == 0 {
+		return true
+	}
+	calls, slowness := (pieces+pl.batch.MaxPieces-1)/pl.batch.MaxPieces, 1.0
+	for _, t := range pl.targets {
+		if calls <= 0 {
+			break
+		}
+		if !t.Closed && t.freeAt(now).Equal(now) {
+			calls--
+			slowness = max(slowness, t.slowness)
+		}
+	}
+	longest := float64(pl.batch.CallTime+pieceTime*time.Duration(pl.batch.MaxPieces)) * slowness
+	return calls <= 0 && time.Duration(longest) <= tasks[0].left
+}
+
+// simulatedTarget is the state of a target in the simulation of firstLateTask: the time until it is
+// free for its next call, its slowness, which is 1 at least, and its index among the targets.
 type simulatedTarget struct {
-	freeAt   time.Time
+	free     time.Duration
 	slowness float64
+	index    int
+}
+
+// before reports whether a gets its next call before b.
+func (a *simulatedTarget) before(b *simulatedTarget) bool {
+	return a.free < b.free || a.free == b.free && a.index < b.index
 }
 
 // firstLateTask simulates the calls for the tasks in their order and returns the index of the
-// first task that would be late, or -1 if none is.
-func (pl *pool) firstLateTask(now time.Time, tasks []*task) int {
-	targets := pl.simulatedTargets(now)
-	if len(targets) == 0 {
-		return -1
-	}
+// first task that would be late, or -1 if none is. The targets, of which there is at least one, are
+// those of simulatedTargets.
+func (pl *pool) firstLateTask(targets []simulatedTarget, tasks []*task) int {
+	heap := append(pl.simulated[:0], targets...)
+	pl.simulated = heap
 	next, offset := 0, 0
 	for next < len(tasks) {
-		first := 0
-		for i := range targets {
-			if targets[i].freeAt.Before(targets[first].freeAt) {
-				first = i
-			}
-		}
 		start, pieces, took := next, 0, pl.batch.CallTime
 		for next < len(tasks) && pieces < pl.batch.MaxPieces {
 			fits := min(len(tasks[next].waiting)-offset, pl.batch.MaxPieces-pieces)
 			pieces += fits
 			offset += fits
-			took += time.Duration(fits) * pl.pieceTime(tasks[next].stage.spec.Kind)
+			took += time.Duration(fits) * tasks[next].stage.pieceTime()
 			if offset < len(tasks[next].waiting) {
 				break
 			}
 			next, offset = next+1, 0
 		}
-		targets[first].freeAt = targets[first].freeAt.Add(time.Duration(float64(took) * targets[first].slowness))
+		heap[0].free += time.Duration(float64(took) * heap[0].slowness)
 		for i := start; i < next; i++ {
-			if targets[first].freeAt.After(tasks[i].due) {
+			if heap[0].free > tasks[i].left {
 				return i
 			}
 		}
+		sink(heap, 0)
 	}
 	return -1
 }
 
-// simulatedTargets returns the targets that get new calls, as of now.
+// sink restores the order of a heap of targets, the one that gets the next call first, after the one at
+// the index has changed.
+func sink(heap []simulatedTarget, parent int) {
+	for {
+		first := 2*parent + 1
+		if first >= len(heap) {
+			return
+		}
+		if second := first + 1; second < len(heap) && heap[second].before(&heap[first]) {
+			first = second
+		}
+		if heap[parent].before(&heap[first]) {
+			return
+		}
+		heap[parent], heap[first] = heap[first], heap[parent]
+		parent = first
+	}
+}
+
+// simulatedTargets returns the targets that get new calls, as of now, as a heap for firstLateTask.
 func (pl *pool) simulatedTargets(now time.Time) []simulatedTarget {
-	var targets []simulatedTarget
-	for _, t := range pl.targets {
-		if t.Closed {
-			continue
+	targets := make([]simulatedTarget, 0, len(pl.targets))
+	for i, t := range pl.targets {
+		if !t.Closed {
+			targets = append(targets, simulatedTarget{free: t.freeAt(now).Sub(now), slowness: max(t.slowness, 1), index: i})
 		}
-		s := simulatedTarget{freeAt: t.freeAt(now), slowness: max(t.slowness, 1)}
-		targets = append(targets, s)
+	}
+	for i := len(targets)/2 - 1; i >= 0; i-- {
+		sink(targets, i)
 	}
 	return targets
 }
--- a/internal/dispatch/stage.go
+++ b/internal/dispatch/stage.go
@@ -10,7 +10,11 @@
 	job     *job
 	index   int
 	spec    Stage
+	pool    *pool
+	kind    *pieceKind
 	results []result
+	// task is the queued task of the stage, nil if no piece waits.
+	task *task
 	// missing is the number of pieces without a result.
 	missing int
 	// queuedAt, startedAt and doneAt are when the stage was queued, its first piece was sent
@@ -42,8 +46,10 @@
 	waiting []int
 	// queuedAt is when the first waiting piece was queued.
 	queuedAt time.Time
-	// due is when the stage must be done for the job to meet its soft deadline.
-	due time.Time
+	// due is when the stage must be done for the job to meet its soft deadline, left the time until
+	// then when the queue was sorted.
+	due  time.Time
+	left time.Duration
 	// valueDensity is the result of taskValueDensity.
 	valueDensity float64
 	// deferred is set if the task comes after those that can be on time: its job is deferred,
@@ -78,7 +84,7 @@
 
 // reset discards the state of the stage, so that all its pieces are computed again.
 func (s *stageState) reset() {
-	*s = stageState{job: s.job, index: s.index, spec: s.spec, results: make([]result, s.spec.Pieces), missing: s.spec.Pieces}
+	*s = stageState{job: s.job, index: s.index, spec: s.spec, pool: s.pool, kind: s.kind, task: s.task, results: make([]result, s.spec.Pieces), missing: s.spec.Pieces}
 }
 
 // loseResultsAt forgets the results of the stage that were stored at a removed target.
@@ -97,11 +103,13 @@
 
 // dequeueStage removes all waiting pieces of the stage from the queue.
 func (p *Planner) dequeueStage(s *stageState) {
-	pl := p.poolByService[s.spec.Service]
-	if pl == nil {
+	if s.task == nil {
 		return
 	}
-	pl.tasks = slices.DeleteFunc(pl.tasks, func(t *task) bool { return t.stage == s })
+	if i := slices.Index(s.pool.tasks, s.task); i >= 0 {
+		s.pool.tasks = slices.Delete(s.pool.tasks, i, i+1)
+	}
+	s.task = nil
 }
 
 // release frees the results of a stage. Results of its running calls are freed on arrival.
@@ -165,7 +173,7 @@
 			continue
 		}
 		consumers++
-		if other.missing > 0 && !(p.inputsFetched(other) && p.pool(s.spec.Service).memoryShort()) {
+		if other.missing > 0 && !(p.inputsFetched(other) && s.pool.memoryShort()) {
 			return false
 		}
 	}
@@ -189,16 +197,15 @@
 
 // enqueue adds a piece to the queue unless it waits already.
 func (p *Planner) enqueue(s *stageState, index int) {
-	pl := p.pool(s.spec.Service)
-	for _, t := range pl.tasks {
-		if t.stage == s {
-			if !slices.Contains(t.waiting, index) {
-				t.waiting = append(t.waiting, index)
-			}
-			return
+	s.pool.changed = true
+	if s.task != nil {
+		if !slices.Contains(s.task.waiting, index) {
+			s.task.waiting = append(s.task.waiting, index)
 		}
+		return
 	}
-	pl.tasks = append(pl.tasks, &task{stage: s, waiting: []int{index}, queuedAt: p.now})
+	s.task = &task{stage: s, waiting: []int{index}, queuedAt: p.now}
+	s.pool.tasks = append(s.pool.tasks, s.task)
 }
 
 // requeue queues a piece again that is still needed and has neither a result nor a running call.
@@ -222,17 +229,14 @@
 
 // dequeuePiece removes one piece from the queue.
 func (p *Planner) dequeuePiece(ref pieceRef) {
-	pl := p.poolByService[ref.stage.spec.Service]
-	for i, t := range pl.tasks {
-		if t.stage != ref.stage {
-			continue
-		}
-		t.waiting = slices.DeleteFunc(t.waiting, func(index int) bool { return index == ref.index })
-		if len(t.waiting) == 0 {
-			pl.tasks = slices.Delete(pl.tasks, i, i+1)
-		}
+	t := ref.stage.task
+	if t == nil {
 		return
 	}
+	t.waiting = slices.DeleteFunc(t.waiting, func(index int) bool { return index == ref.index })
+	if len(t.waiting) == 0 {
+		p.dequeueStage(ref.stage)
+	}
 }
 
 // recomputeInputs computes the inputs of a stage again after one of them was found missing.
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -24,8 +24,8 @@
 	states := make([]ServiceState, 0, len(p.pools))
 	for _, pl := range p.pools {
 		s := ServiceState{Service: pl.name, WaitMillis: pl.typicalWait.Milliseconds()}
-		if f := p.forecasts[pl.name]; f != nil {
-			s.Pressure = f.pressure()
+		if pl.forecast != nil {
+			s.Pressure = pl.forecast.pressure()
 		}
 		for _, t := range pl.tasks {
 			s.Waiting += len(t.waiting)
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -30,17 +30,29 @@
 	tasks   []*task
 	// typicalWait is the moving average of the queue wait of tasks that aren't deferred.
 	typicalWait time.Duration
-	// pieceTimes are the measured times that a piece adds to a call, by the kind of its stage.
-	// Kinds without a measurement use batch.PieceTime.
-	pieceTimes map[string]time.Duration
+	// kinds are the kinds of the stages that the service has run.
+	kinds map[string]*pieceKind
+	// forecast is that of the last admission of all jobs, nil before the first.
+	forecast *capacityForecast
+	// changed is set if pieces were queued, or targets or their memory have become free, since calls
+	// were last started.
+	changed bool
+	// wasShort is whether memoryShort held at the last tick.
+	wasShort bool
+	// simulated is a buffer for the targets in the simulation of firstLateTask.
+	simulated []simulatedTarget
 }
 
+// pieceKind holds the measured time that a piece of a kind adds to a call; it is 0 without a
+// measurement, and batch.PieceTime is used.
+type pieceKind struct{ time time.Duration }
+
 // targetState is the state of one target.
 type targetState struct {
 	Target
 	pool *pool
-	// running are the running calls by ID.
-	running map[uint64]*call
+	// running are the running calls, in the order of their starts.
+	running []*call
 	// pausedUntil is when the next call may be sent, heldUntil when the target wants calls again.
 	pausedUntil, heldUntil time.Time
 	// slowness is the moving average of measured divided by expected call durations; 1 is as
@@ -104,11 +116,12 @@
 		}
 		if state == nil {
 			pl := p.pool(t.Service)
-			state = &targetState{pool: pl, running: map[uint64]*call{}, results: map[string]int64{}, slowness: 1}
+			state = &targetState{pool: pl, results: map[string]int64{}, slowness: 1}
 			pl.targets = append(pl.targets, state)
 			p.targets[t.ID] = state
 		}
 		state.Target = t
+		state.pool.changed = true
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
 		if !present[id] {
@@ -145,8 +158,8 @@
 	t.removed = true
 	delete(p.targets, t.ID)
 	t.pool.targets = slices.DeleteFunc(t.pool.targets, func(other *targetState) bool { return other == t })
-	for _, id := range slices.Sorted(maps.Keys(t.running)) {
-		p.requeueCall(t.running[id])
+	for _, c := range slices.Clone(t.running) {
+		p.requeueCall(c)
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
 		j := p.jobs[id]
@@ -164,6 +177,7 @@
 func (t *targetState) removeResult(handle string) {
 	t.usedBytes -= t.results[handle]
 	delete(t.results, handle)
+	t.pool.changed = true
 }
 
 // memoryShort reports whether a target of the service may lack the memory for the results of a
@@ -193,11 +207,11 @@
 func (c *call) measure(now time.Time) {
 	took := now.Sub(c.started)
 	expected := c.target.pool.batch.CallTime
-	counts := map[string]int{}
+	counts := map[*pieceKind]int{}
 	sumOfSquares := 0
 	for _, ref := range c.pieces {
-		expected += c.target.pool.pieceTime(ref.stage.spec.Kind)
-		counts[ref.stage.spec.Kind]++
+		expected += ref.stage.pieceTime()
+		counts[ref.stage.kind]++
 	}
 	for _, n := range counts {
 		sumOfSquares += n * n
@@ -219,21 +233,34 @@
 	}
 }
 
+// kind returns the kind with this name, which is created on first use.
+func (pl *pool) kind(name string) *pieceKind {
+	if pl.kinds == nil {
+		pl.kinds = map[string]*pieceKind{}
+	}
+	k := pl.kinds[name]
+	if k == nil {
+		k = &pieceKind{}
+		pl.kinds[name] = k
+	}
+	return k
+}
+
+// pieceTime returns the time that a piece of the stage adds to a call.
+func (s *stageState) pieceTime() time.Duration { return s.pool.pieceTime(s.kind) }
+
 // pieceTime returns the time that a piece of the kind adds to a call.
-func (pl *pool) pieceTime(kind string) time.Duration {
-	if measured, ok := pl.pieceTimes[kind]; ok {
-		return measured
+func (pl *pool) pieceTime(k *pieceKind) time.Duration {
+	if k.time > 0 {
+		return k.time
 	}
 	return pl.batch.PieceTime
 }
 
 // adjustPieceTime changes the time of a kind by a step, within maxPieceTimeRatio.
-func (pl *pool) adjustPieceTime(kind string, step time.Duration) {
-	if pl.pieceTimes == nil {
-		pl.pieceTimes = map[string]time.Duration{}
-	}
+func (pl *pool) adjustPieceTime(k *pieceKind, step time.Duration) {
 	least, most := pl.batch.PieceTime/maxPieceTimeRatio, pl.batch.PieceTime*maxPieceTimeRatio
-	pl.pieceTimes[kind] = min(max(pl.pieceTime(kind)+step, least), most)
+	k.time = min(max(pl.pieceTime(k)+step, least), most)
 }
 
 // addLostCall pauses the target until a lost call should have ended, or for unreachedPause
