--- a/internal/scheduler/notice_test.go
+++ b/internal/scheduler/notice_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -109,10 +110,13 @@
 func TestRepeatedAnswerToCallIsNotUsed(t *testing.T) {
 	n, servers := start(t)
 	first := n.schedulers["b"].Submit(job("j"))
-	assigned(t, first)
-	servers[0].SetFault(standin.Fault{RepeatCall: 1})
+	a := assigned(t, first)
+	servers[1].SetFault(standin.Fault{RepeatCall: 1})
 	second := n.schedulers["b"].Submit(job("k"))
-	assigned(t, second)
+	b := assigned(t, second)
+	if slices.Equal(a.Inputs, b.Inputs) {
+		t.Errorf("both requests have the inputs %v", a.Inputs)
+	}
 	first.Close()
 	second.Close()
 	for _, s := range servers {
