fix(forward): resume a stream that brings bytes but no events

Cause: the pause after which a resumable stream is resumed at another engine was measured from the last byte. A stalled engine that sends a byte now and then kept its stream until the route's timeout.

Change: measured from the last whole event, or the head of the answer.

--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -12,19 +12,24 @@
 
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 
-// stallReader applies a timeout to each read of a body.
+// stallReader bounds the time in which a body makes no progress.
 type stallReader struct {
 	conn    *Conn
 	reader  io.Reader
 	timeout time.Duration
+	// limit is when the body counts as stalled.
+	limit time.Time
 }
 
 // Read implements io.Reader.
 func (s *stallReader) Read(p []byte) (int, error) {
-	s.conn.setReadTimeout(s.timeout)
+	s.conn.setReadLimit(s.limit)
 	return s.reader.Read(p)
 }
 
+// progressed starts the timeout anew.
+func (s *stallReader) progressed() { s.limit = time.Now().Add(s.timeout) }
+
 // body reads the body of an answer. At its end it marks the connection as reusable, if the
 // answer allows that.
 type body struct {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -120,7 +120,8 @@
 	AttemptID string
 	// FirstByteTimeout bounds the wait for the head of the answer; 0 means no bound.
 	FirstByteTimeout time.Duration
-	// StallTimeout bounds the wait for each part of the body; 0 means no bound.
+	// StallTimeout bounds the time from the head of the answer, and from each call of
+	// Answer.Progressed, to the next one or the end of the body; 0 means no bound.
 	StallTimeout time.Duration
 	// NoBody is set if the answer has no body even with a Content-Length, as for HEAD.
 	NoBody bool
@@ -138,6 +139,17 @@
 	Length int
 	// Framing is how the end of the body is marked.
 	Framing Framing
+
+	// stall bounds the time without progress, nil if there is no bound.
+	stall *stallReader
+}
+
+// Progressed tells that what was read so far is of use, such as a whole event; see Request.StallTimeout.
+// Bytes alone don't count: a stalled target may send one now and then.
+func (a *Answer) Progressed() {
+	if a.stall != nil {
+		a.stall.progressed()
+	}
 }
 
 // Framing is how the end of a body is marked.
@@ -227,8 +239,10 @@
 }
 
 // setReadTimeout bounds the next reads by d and by the deadline of the exchange.
-func (c *Conn) setReadTimeout(d time.Duration) {
-	limit := time.Now().Add(d)
+func (c *Conn) setReadTimeout(d time.Duration) { c.setReadLimit(time.Now().Add(d)) }
+
+// setReadLimit bounds the next reads by a time and by the deadline of the exchange.
+func (c *Conn) setReadLimit(limit time.Time) {
 	if !c.deadline.IsZero() && c.deadline.Before(limit) {
 		limit = c.deadline
 	}
@@ -302,7 +316,9 @@
 		answer.Body = &body{conn: c, reader: c.reader, confirmEnd: func() error { return c.confirmEnd(ctx) }}
 	}
 	if r.StallTimeout > 0 {
-		answer.Body = &stallReader{conn: c, reader: answer.Body, timeout: r.StallTimeout}
+		answer.stall = &stallReader{conn: c, reader: answer.Body, timeout: r.StallTimeout}
+		answer.stall.progressed()
+		answer.Body = answer.stall
 	}
 	c.maxIdleTime = maxIdleTime(&answer.Header)
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -185,7 +185,7 @@
 	// lastEventID is the event to resume a stream after, empty at its start.
 	lastEventID string
 	// firstByteTimeout bounds the wait for the head of the answer, stallTimeout the wait for
-	// each part of its body; 0 means no bound.
+	// each event of its body; 0 means no bound.
 	firstByteTimeout time.Duration
 	stallTimeout     time.Duration
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -46,9 +46,13 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
+			before := s.events
 			if relayErr := s.relayEvents(buffer[:n]); relayErr != nil {
 				return relayErr
 			}
+			if s.events > before {
+				answer.Progressed()
+			}
 		}
 		if err == io.EOF && s.brokenOff(answer, s.events == eventsBefore) {
 			return io.ErrUnexpectedEOF
