fix(scheduler): don't take alike failures of calls for a repeated answer

Cause: the guard against a repeated answer to a stage call compared whole bodies. Two calls whose pieces all fail for the same reason have equal ones, and answers to calls that free results may have too; the second call then counted as lost, and its target was left alone until the call should have ended.

Change: only bodies that name results are compared.

--- a/internal/scheduler/call.go
+++ b/internal/scheduler/call.go
@@ -175,8 +175,7 @@
 		s.Pool.Discard(conn) // a second copy of a rejection can't be told from that of the next call
 		return answer.Head, answerBody, nil
 	}
-	// No two answers to calls name the same results; those to calls that free results are empty.
-	if len(answerBody) > 0 && conn.RepeatsBody(answerBody) {
+	if platform.NamesResults(answerBody) && conn.RepeatsBody(answerBody) {
 		s.Pool.Discard(conn)
 		return platform.AnswerHead{}, nil, problem.New(problem.TargetFailed, "%s has sent the answer to an earlier call again", address)
 	}
--- a/internal/scheduler/notice_test.go
+++ b/internal/scheduler/notice_test.go
@@ -125,3 +125,18 @@
 		}
 	}
 }
+
+// TestAlikeFailuresOfCallsAreUsed has a stage target answer two calls in succession with the same failures,
+// which are no repeated answer: the pieces are sent again at once.
+func TestAlikeFailuresOfCallsAreUsed(t *testing.T) {
+	n, servers := start(t)
+	servers[1].SetFault(standin.Fault{FailPieces: 3})
+	began := time.Now()
+	ticket := n.schedulers["b"].Submit(job("j"))
+	assigned(t, ticket)
+	ticket.Close()
+	// One call of the first stage and four of the second, of 100 ms each.
+	if took := time.Since(began); took > 800*time.Millisecond {
+		t.Errorf("assigned after %v, want about 500 ms", took)
+	}
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -82,6 +82,8 @@
 	RetryAfter string
 	// RepeatCall is for stage targets: it answers a call with the answer to the last one, then runs it.
 	RepeatCall int
+	// FailPieces is for stage targets: it answers a call with a failure of each piece.
+	FailPieces int
 	// CutPlain is for engines: it sends the first event and a part of the second with neither a length
 	// nor chunks, then closes the connection.
 	CutPlain int
--- a/internal/standin/service/stage.go
+++ b/internal/standin/service/stage.go
@@ -37,7 +37,7 @@
 		rejectNotRun(w, http.StatusServiceUnavailable)
 		return
 	}
-	repeat, last := takeFault(&s.fault.RepeatCall), s.lastCallAnswer
+	repeat, fail, last := takeFault(&s.fault.RepeatCall), takeFault(&s.fault.FailPieces), s.lastCallAnswer
 	s.running++
 	s.mu.Unlock()
 	time.Sleep(s.Profile.Work + time.Duration(len(call.Items))*s.Profile.Piece)
@@ -50,6 +50,10 @@
 	}{}
 	s.mu.Lock()
 	for _, p := range call.Items {
+		if fail {
+			answer.Items = append(answer.Items, item{Reason: "error"})
+			continue
+		}
 		if !s.checkPiece(p) {
 			answer.Items = append(answer.Items, item{Reason: "gone"})
 			continue
