test(review): show a stream cut by a crash that ends as complete

Cause: the end of an answer without a length counts as its end if the address accepts another connection, also if that is the next start of the server. Done: a case with a script and a relay; no code is changed.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,6 +16,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*play) error{
 	"repeated-call": repeatedCall,
+	"reborn":        reborn,
 }
 
 // play is one run of a case.
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -13,6 +13,22 @@
 	file       *os.File
 	began      time.Time
 	violations int
+	// events is the number of the last event that a server has made, by attempt.
+	events map[string]int
+}
+
+// wrote notes that a server has made an event of an answer.
+func (r *record) wrote(attempt string, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events[attempt] = max(r.events[attempt], n)
+}
+
+// made returns the number of the last event that a server has made for an attempt.
+func (r *record) made(attempt string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events[attempt]
 }
 
 func newRecord(path string) (*record, error) {
@@ -20,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: file, began: time.Now()}, nil
+	return &record{file: file, began: time.Now(), events: map[string]int{}}, nil
 }
 
 func (r *record) add(format string, args ...any) {
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -30,6 +30,12 @@
 	// used is the memory of the results that a stage server holds.
 	used    int64
 	results map[string]int64
+	// advertised is the address in the server's entry.
+	advertised string
+	// silent is set while the server doesn't renew its entry.
+	silent bool
+	// unframed makes the answers of an engine end with their connections.
+	unframed bool
 	// repeat decides for an answer to a stage call whether it is sent once more, late.
 	repeat func(body []byte) bool
 }
@@ -67,22 +73,44 @@
 	if err := s.net.start(); err != nil {
 		return nil, err
 	}
+	s.advertised = s.net.address
+	s.register()
 	go s.beat()
 	return s, nil
 }
 
+// startBehind starts an engine behind a relay. It answers without a length and without chunks.
+func (w *world) startBehind(id, service, zone string, address string, r *relay) (*server, error) {
+	s := &server{id: id, service: service, zone: zone, kind: "engine", world: w, born: time.Now().UnixMilli(), unframed: true}
+	s.net = listenerSet{address: address, handle: s.handle}
+	if err := s.net.start(); err != nil {
+		return nil, err
+	}
+	s.advertised = r.address
+	return s, nil
+}
+
 // beat registers the server and renews its entry.
 func (s *server) beat() {
 	for {
-		s.mu.Lock()
-		s.seq++
-		entry := map[string]any{"service": s.service, "address": s.net.address, "zone": s.zone, "version": "v1", "slots": 64, "state": "ready", "coldRemainingMs": 0, "seq": s.seq, "born": s.born}
-		s.mu.Unlock()
-		s.world.store.put("servers", s.id, entry)
 		time.Sleep(heartbeat)
+		s.register()
 	}
 }
 
+// register writes the server's entry unless it is silent.
+func (s *server) register() {
+	s.mu.Lock()
+	if s.silent {
+		s.mu.Unlock()
+		return
+	}
+	s.seq++
+	entry := map[string]any{"service": s.service, "address": s.advertised, "zone": s.zone, "version": "v1", "slots": 64, "state": "ready", "coldRemainingMs": 0, "seq": s.seq, "born": s.born}
+	s.mu.Unlock()
+	s.world.store.put("servers", s.id, entry)
+}
+
 func notExecuted(status int) answer {
 	return answer{status: status, header: map[string]string{"X-Not-Executed": "1"}}
 }
@@ -289,8 +317,9 @@
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	s.world.record.add("server %s runs request %s", s.id, attempt)
 	return answer{
-		status: http.StatusOK,
-		header: map[string]string{"X-Attempt-Id": attempt, "X-Response-Signature": s.id + "." + attempt, "Content-Type": "text/event-stream"},
+		status:   http.StatusOK,
+		unframed: s.unframed,
+		header:   map[string]string{"X-Attempt-Id": attempt, "X-Response-Signature": s.id + "." + attempt, "Content-Type": "text/event-stream"},
 		stream: func(write func([]byte) error) bool {
 			wait := engines.first
 			for n := last + 1; n <= engines.events; n++ {
@@ -303,6 +332,7 @@
 				if write(fmt.Appendf(nil, "id: %d\ndata: %s-%d\n\n", n, attempt, n)) != nil {
 					return false
 				}
+				s.world.record.wrote(attempt, n)
 			}
 			return true
 		},
