--- a/review/harness/host.go
+++ b/review/harness/host.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -149,24 +148,9 @@
 	return fmt.Errorf("%s isn't ready after 15 s", h.name)
 }
 
-// signal sends a signal to the process.
-func (h *host) signal(s syscall.Signal) { _ = h.command.Process.Signal(s) }
-
 // end ends the process.
 func (h *host) end() {
 	_ = h.command.Process.Signal(syscall.SIGCONT)
 	_ = h.command.Process.Kill()
 	_ = h.command.Wait()
 }
-
-// logged returns the lines of the log that contain a text.
-func (h *host) logged(text string) []string {
-	content, _ := os.ReadFile(filepath.Join(h.dir, "log"))
-	var lines []string
-	for _, line := range strings.Split(string(content), "\n") {
-		if strings.Contains(line, text) {
-			lines = append(lines, line)
-		}
-	}
-	return lines
-}
