--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -2,7 +2,9 @@
 // daemons as separate processes, and clients, and checks one rule. It exits with 1 if the rule was
 // broken, 0 if it held and 2 if the case couldn't run.
 //
-//	harness CASE FOLDER TROUBLE
+//	harness CASE RECORD TROUBLE
+//
+// RECORD is the file for what was sent, answered and run, record.txt in the folder of the case.
 package main
 
 import (
@@ -31,14 +33,14 @@
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER 0|1")
+		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD 0|1")
 		os.Exit(2)
 	}
 	os.Exit(run(os.Args[1], os.Args[2], os.Args[3] != "0"))
 }
 
-func run(name, folder string, trouble bool) int {
-	r, err := newRecord(filepath.Join(folder, "record.txt"))
+func run(name, recordPath string, trouble bool) int {
+	r, err := newRecord(recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
