--- /dev/null
+++ b/review/harness2/cold.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"context"
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// The bounds of the small site: while it is cold, a server may get coldPerS x coldOver + coldSlack requests
+// in a second, summed over all machines.
+const (
+	coldPerS  = 17.0
+	coldOver  = 1.5
+	coldSlack = 5.0
+)
+
+// coldBound is that number.
+var coldBound = int(math.Floor(coldPerS*coldOver + coldSlack))
+
+// streamRoutes is a route for streams that may be resumed, on the service "llm".
+func streamRoutes() []map[string]any {
+	return []map[string]any{{
+		"name": "stream", "host": "h.example", "prefix": "/stream/", "kind": "streaming", "service": "llm", "timeoutMs": 20000, "targetLatencyMs": 1800,
+		"priority": 1, "maxAttempts": 2, "sticky": true, "resumable": true, "gapAimMs": 300, "public": false,
+	}}
+}
+
+// engineServices is the service "llm" with servers that are cold for a time after their start.
+func engineServices(warmup time.Duration) []map[string]any {
+	return []map[string]any{{
+		"name": "llm", "healthPath": "/health", "maxConnections": 370, "protocol": "h1", "tls": false, "warmupS": warmup.Seconds(), "coldPerS": coldPerS,
+		"engine": map[string]any{"slots": 64, "kvCapacity": 475968, "kvBytes": 35136, "linkMbps": 550000.0, "stride": 5, "models": []map[string]any{{"name": "m"}}},
+	}}
+}
+
+// newEngine returns a server of "llm".
+func newEngine(r *record, id string, cold time.Duration) *server {
+	s := &server{record: r, id: id, service: "llm", zone: zones[0], slots: 64, events: 3, gap: 40 * time.Millisecond}
+	if cold > 0 {
+		s.turnCold(cold)
+	}
+	return s
+}
+
+// runLoads runs the loads until the context ends and records their outcomes.
+func runLoads(ctx context.Context, r *record, loads []*load) (wait func()) {
+	var wg sync.WaitGroup
+	for _, l := range loads {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			l.run(ctx)
+		}()
+	}
+	return func() {
+		wg.Wait()
+		for _, l := range loads {
+			r.add("clients of %s sent %d requests", l.daemon.host, l.sent)
+			for _, outcome := range slices.Sorted(maps.Keys(l.outcomes)) {
+				r.add("  %s: %d", outcome, l.outcomes[outcome])
+			}
+		}
+	}
+}
+
+// judgeCold records the worst second of each server, and reports whether all are within the bound.
+func judgeCold(r *record, servers ...*server) bool {
+	held := true
+	for _, s := range servers {
+		most, from := s.worst()
+		r.add("%s got at most %d requests in one second while it was cold, from %.3f s on; the bound is %d", s.id, most, from.Sub(r.began).Seconds(), coldBound)
+		held = held && most <= coldBound
+	}
+	return held
+}
+
+// coldFreeze: the only server of a service has returned cold, and one daemon freezes for some seconds.
+func coldFreeze(r *record, trouble bool) (held bool, err error) {
+	const warmup = 8 * time.Second
+	f, err := newFleet(r)
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	f.configure(streamRoutes(), engineServices(warmup))
+	first := newEngine(r, "i-first", 0)
+	if err := first.start("127.13.1.1:0"); err != nil {
+		return false, err
+	}
+	f.list(first)
+	if err := f.startDaemons(3); err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	leader, err := f.awaitLeader(ctx)
+	if err != nil {
+		return false, err
+	}
+	var frozen *daemon
+	var loads []*load
+	for _, d := range f.daemons {
+		rate := 12.0
+		if d != leader && frozen == nil {
+			frozen, rate = d, 24
+		}
+		loads = append(loads, &load{record: r, daemon: d, path: "/stream/x", perSecond: rate, patience: 7200 * time.Millisecond, deadline: 20 * time.Second, last: 3})
+	}
+	r.add("leader %s, daemon to freeze %s", leader.host, frozen.host)
+	sending, stopSending := context.WithCancel(ctx)
+	defer stopSending()
+	wait := runLoads(sending, r, loads)
+	time.Sleep(3 * time.Second)
+	r.add("the server crashes; another one starts cold")
+	first.crash()
+	f.unlist(first)
+	time.Sleep(500 * time.Millisecond)
+	second := newEngine(r, "i-second", warmup)
+	if err := second.start("127.13.1.2:0"); err != nil {
+		return false, err
+	}
+	f.list(second)
+	time.Sleep(2500 * time.Millisecond)
+	if trouble {
+		r.add("%s freezes", frozen.host)
+		if err := frozen.signal(syscall.SIGSTOP); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		r.add("%s wakes", frozen.host)
+		if err := frozen.signal(syscall.SIGCONT); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(3 * time.Second)
+	stopSending()
+	wait()
+	return judgeCold(r, second), nil
+}
+
+// coldOutage: while the store is down, a server crashes and starts again, cold, under its ID and at its
+// address.
+func coldOutage(r *record, trouble bool) (held bool, err error) {
+	const warmup = 3 * time.Second
+	f, err := newFleet(r)
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	f.configure(streamRoutes(), engineServices(warmup))
+	first := newEngine(r, "i-first", 0)
+	if err := first.start("127.13.1.1:0"); err != nil {
+		return false, err
+	}
+	f.list(first)
+	if err := f.startDaemons(3); err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	if _, err := f.awaitLeader(ctx); err != nil {
+		return false, err
+	}
+	var loads []*load
+	for _, d := range f.daemons {
+		loads = append(loads, &load{record: r, daemon: d, path: "/stream/x", perSecond: 16, patience: 7200 * time.Millisecond, deadline: 20 * time.Second, last: 3})
+	}
+	sending, stopSending := context.WithCancel(ctx)
+	defer stopSending()
+	wait := runLoads(sending, r, loads)
+	time.Sleep(3 * time.Second)
+	if trouble {
+		f.setStoreAway(true)
+	}
+	time.Sleep(500 * time.Millisecond)
+	r.add("the server crashes")
+	first.crash()
+	f.unlist(first)
+	time.Sleep(500 * time.Millisecond)
+	second := newEngine(r, first.id, warmup)
+	if err := second.start(first.address); err != nil {
+		return false, err
+	}
+	r.add("the server has started again, cold")
+	f.list(second)
+	time.Sleep(3500 * time.Millisecond)
+	if trouble {
+		f.setStoreAway(false)
+	}
+	time.Sleep(2 * time.Second)
+	stopSending()
+	wait()
+	return judgeCold(r, second), nil
+}
