--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -43,8 +43,9 @@
 
 // cases are the cases by name. Each returns whether the rule held; an error means that it couldn't run.
 var cases = map[string]func(r *record, trouble bool) (held bool, err error){
-	"cold-freeze": coldFreeze,
-	"cold-outage": coldOutage,
+	"cold-freeze":   coldFreeze,
+	"cold-outage":   coldOutage,
+	"cold-replaced": coldReplaced,
 }
 
 func main() {
--- /dev/null
+++ b/review/harness2/replaced.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+)
+
+// darkPort is the port of a machine that has lost power for good: connections to it hang. A port of the
+// loopback address does that once the queue of its listener, which accepts nothing, is full.
+type darkPort struct {
+	fd    int
+	first net.Conn
+}
+
+// newDarkPort takes the address.
+func newDarkPort(address string) (*darkPort, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	p := &darkPort{fd: fd}
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return nil, err
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()}); err != nil {
+		return nil, err
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		return nil, err
+	}
+	// Another daemon may have filled the queue already.
+	p.first, _ = net.DialTimeout("tcp", address, 100*time.Millisecond)
+	return p, nil
+}
+
+// close frees the port.
+func (p *darkPort) close() {
+	if p.first != nil {
+		_ = p.first.Close()
+	}
+	_ = syscall.Close(p.fd)
+}
+
+// state is what a daemon says of itself and of the others on its metrics port.
+type state struct {
+	Leader  string
+	Members []struct {
+		Host  string
+		Alive bool
+	}
+}
+
+// ask returns the state of a daemon.
+func (d *daemon) ask() (state, error) {
+	client := http.Client{Timeout: time.Second}
+	var s state
+	answer, err := client.Get(fmt.Sprintf("http://%s:9464/state", d.ip))
+	if err != nil {
+		return s, err
+	}
+	defer answer.Body.Close()
+	return s, json.NewDecoder(answer.Body).Decode(&s)
+}
+
+// replace ends a machine for good, without a signal before, and adds another one in its place, with a name
+// and an address of its own.
+func (f *fleet) replace(i int) error {
+	old := f.daemons[i]
+	old.kill()
+	p, err := newDarkPort(old.peers)
+	if err != nil {
+		return err
+	}
+	f.dark = append(f.dark, p)
+	f.added++
+	d, err := f.newDaemon(f.added*len(zones) + i%len(zones))
+	if err != nil {
+		return err
+	}
+	if err := d.start(); err != nil {
+		return err
+	}
+	f.daemons[i] = d
+	until := time.Now().Add(10 * time.Second)
+	for !d.isReady() {
+		if time.Now().After(until) {
+			return fmt.Errorf("%s isn't ready", d.host)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
+// recordLeaders records which daemon each daemon follows.
+func (f *fleet) recordLeaders() {
+	followers := map[string]int{}
+	for _, d := range f.daemons {
+		s, err := d.ask()
+		if err != nil {
+			f.record.add("%s tells nothing of itself: %v", d.host, err)
+			continue
+		}
+		followers[s.Leader]++
+	}
+	f.record.add("%d leaders; followers of each: %v", len(followers), followers)
+}
--- a/review/harness2/server.go
+++ b/review/harness2/server.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// drain makes the server report that it is leaving.
+func (s *server) drain() {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+}
+
 // coldLeft is how long the server stays cold. The caller holds the mutex.
 func (s *server) coldLeft() time.Duration { return max(time.Until(s.coldUntil), 0) }
 
