--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -9,9 +9,13 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
+// unreadPatience is how long a client waits for a daemon that doesn't read its request.
+const unreadPatience = time.Second
+
 // load sends requests at a steady rate to one daemon, each on a new connection, as clients of the platform
 // do.
 type load struct {
@@ -26,6 +30,8 @@
 	// last is the last event of a complete answer, 0 for an answer without events.
 	last int
 
+	// frozen is set while the daemon is frozen and reads no request.
+	frozen   atomic.Bool
 	mu       sync.Mutex
 	outcomes map[string]int
 	wg       sync.WaitGroup
@@ -75,10 +81,14 @@
 	if err != nil {
 		return "not sent"
 	}
+	reader := bufio.NewReader(c)
+	if !l.awaitRead(c, reader) {
+		return "abandoned, since it wasn't read"
+	}
 	if l.patience > 0 {
 		_ = c.SetReadDeadline(time.Now().Add(l.patience))
 	}
-	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	answer, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return "no answer: " + reason(err)
 	}
@@ -97,6 +107,13 @@
 	}
 }
 
+// awaitRead returns false if the daemon hasn't read the request within unreadPatience.
+func (l *load) awaitRead(c net.Conn, reader *bufio.Reader) bool {
+	_ = c.SetReadDeadline(time.Now().Add(unreadPatience))
+	_, err := reader.Peek(1)
+	return err == nil || !l.frozen.Load()
+}
+
 // reason shortens an error.
 func reason(err error) string {
 	if e, ok := err.(net.Error); ok && e.Timeout() {
--- a/review/harness2/cold.go
+++ b/review/harness2/cold.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -141,6 +142,84 @@
 	return judgeCold(r, after...), nil
 }
 
+// coldStale: the leader freezes. Meanwhile the servers of a zone, which are all of a service, go down and come
+// back cold, under their IDs and at their addresses. The store is up and lists them as cold at once.
+func coldStale(r *record, trouble bool) (held bool, err error) {
+	const warmup = 3 * time.Second
+	f, err := newFleet(r)
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	f.configure(streamRoutes(), engineServices(warmup))
+	var before, after []*server
+	for _, id := range []string{"i-1", "i-2"} {
+		s := newEngine(r, id, 0)
+		if err := s.start("127.13.1.1:0"); err != nil {
+			return false, err
+		}
+		f.list(s)
+		before = append(before, s)
+	}
+	if err := f.startDaemons(3); err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	leader, err := f.awaitLeader(ctx)
+	if err != nil {
+		return false, err
+	}
+	var ofLeader *load
+	var loads []*load
+	for _, d := range f.daemons {
+		l := &load{record: r, daemon: d, path: "/stream/x", perSecond: 13, patience: 7200 * time.Millisecond, deadline: 20 * time.Second, last: 3}
+		if d == leader {
+			ofLeader, l.perSecond = l, 33
+		}
+		loads = append(loads, l)
+	}
+	sending, stopSending := context.WithCancel(ctx)
+	defer stopSending()
+	wait := runLoads(sending, r, loads)
+	time.Sleep(3 * time.Second)
+	if trouble {
+		r.add("%s, the leader, freezes", leader.host)
+		ofLeader.frozen.Store(true)
+		if err := leader.command.Process.Signal(syscall.SIGSTOP); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	r.add("the servers of the zone go down")
+	for _, s := range before {
+		s.crash()
+		f.silence(s)
+	}
+	time.Sleep(2 * time.Second)
+	for _, s := range before {
+		again := newEngine(r, s.id, warmup)
+		if err := again.start(s.address); err != nil {
+			return false, err
+		}
+		f.list(again)
+		after = append(after, again)
+	}
+	r.add("they are back, cold for %v, and listed", warmup)
+	time.Sleep(1200 * time.Millisecond)
+	if trouble {
+		r.add("%s wakes", leader.host)
+		ofLeader.frozen.Store(false)
+		if err := leader.command.Process.Signal(syscall.SIGCONT); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(3 * time.Second)
+	stopSending()
+	wait()
+	return judgeCold(r, after...), nil
+}
+
 // coldReplaced: many machines have been lost for good and replaced, one after the other. Long after, a new
 // server starts cold.
 func coldReplaced(r *record, trouble bool) (held bool, err error) {
