--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -46,6 +46,7 @@
 // cases are the cases by name. Each returns whether the rule held; an error means that it couldn't run.
 var cases = map[string]func(r *record, trouble bool) (held bool, err error){
 	"cold-stale":    coldStale,
+	"zero-weights":  zeroWeights,
 	"cold-outage":   coldOutage,
 	"cold-replaced": coldReplaced,
 }
--- a/review/harness2/server.go
+++ b/review/harness2/server.go
@@ -42,6 +42,7 @@
 type arrival struct {
 	at      time.Time
 	attempt string
+	path    string
 	cold    bool
 }
 
@@ -157,8 +158,8 @@
 	w.Header().Set("X-Attempt-Id", attempt)
 	s.mu.Lock()
 	cold := s.coldLeft() > 0
-	s.arrivals = append(s.arrivals, arrival{at, attempt, cold})
-	s.record.addAt(at, "%s gets %s, cold=%v", s.id, attempt, cold)
+	s.arrivals = append(s.arrivals, arrival{at, attempt, r.URL.Path, cold})
+	s.record.addAt(at, "%s of %s gets %s %s, cold=%v", s.id, s.service, attempt, r.URL.Path, cold)
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", s.running, s.slots))
 	if s.running >= s.slots {
 		s.mu.Unlock()
