fix(exchange): reject answers whose status line is malformed

A server in trouble sent an answer with the status 000, and the client got it as an answer with status 200.

Cause: the HTTP library that parses heads takes what it finds for a status. It has no value for 000 and reports 200 then; it also accepts 600 to 999, other protocol versions, control bytes in the reason, an empty line before the head and 101 without a request to switch protocols. All readers of answers use it: the exchanges with targets, the links of serve, and the client of the store.

Change: the new package head checks the status line against RFC 9112 section 4 before the head is parsed, and drops the informational answers before it. Such an answer ends like any other failed attempt: its connection is closed, the target's health hears of it, a safe request goes to another target, and an unsafe one is answered with 502, which promises nothing.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -30,6 +30,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiapick/sequoiapick/internal/head"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
 	"github.com/sequoiapick/sequoiapick/platform"
 )
@@ -56,8 +57,6 @@
 	maxExtraAnswers = 4
 	// maxExtraAnswerBytes bounds the body of such an answer.
 	maxExtraAnswerBytes = 1 << 20
-	// maxInformational bounds the informational answers before the expected one.
-	maxInformational = 8
 	// maxTrailerLines bounds the trailer of a chunked body.
 	maxTrailerLines = 32
 	// maxHeadBytes is the size of the read buffer, which bounds the head of an answer.
@@ -300,16 +299,11 @@
 func (c *Conn) receive(ctx context.Context, r Request) (*Answer, error) {
 	answer := &Answer{}
 	answer.Header.SetNoDefaultContentType(true)
-	for informational := 0; ; informational++ {
-		if informational > maxInformational {
-			return nil, problem.New(problem.TargetFailed, "more than %d informational answers", maxInformational)
-		}
-		if err := answer.Header.Read(c.reader); err != nil {
-			return nil, err
-		}
-		if status := answer.Header.StatusCode(); status >= 200 || status == fasthttp.StatusSwitchingProtocols {
-			break
-		}
+	if _, err := head.AwaitAnswer(c.reader); err != nil {
+		return nil, err
+	}
+	if err := answer.Header.Read(c.reader); err != nil {
+		return nil, err
 	}
 	if r.FirstByteTimeout > 0 {
 		_ = c.net.SetReadDeadline(c.deadline)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -28,6 +28,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiapick/sequoiapick/internal/frame"
+	"github.com/sequoiapick/sequoiapick/internal/head"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
 	"github.com/sequoiapick/sequoiapick/pkg/target"
 )
@@ -285,6 +286,9 @@
 	if err := c.write(request); err != nil {
 		return nil, err
 	}
+	if _, err := head.AwaitAnswer(c.reader); err != nil {
+		return nil, err
+	}
 	var response fasthttp.Response
 	if err := response.ReadLimitBody(c.reader, frame.MaxLineBytes); err != nil {
 		return nil, err
@@ -330,6 +334,9 @@
 	if err := c.write(c.newRequest(ctx, attempt)); err != nil {
 		return Result{}, sendFailed("send", err)
 	}
+	if _, err := head.AwaitAnswer(c.reader); err != nil {
+		return Result{}, sendFailed("answer", err)
+	}
 	response := &fasthttp.Response{StreamBody: true}
 	if err := response.ReadLimitBody(c.reader, frame.MaxLineBytes); err != nil {
 		return Result{}, sendFailed("answer", err)
--- /dev/null
+++ b/internal/link/malformed_test.go
@@ -0,0 +1,85 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/sequoiapick/sequoiapick/internal/link"
+	"github.com/sequoiapick/sequoiapick/pkg/target"
+)
+
+const reportAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+// malformedHeads are heads that would otherwise be those of a whole answer; the length of the body follows.
+var malformedHeads = map[string]string{
+	"status 000": "HTTP/1.1 000 OK\r\n",
+}
+
+// startTarget runs a target that sends the answers to the requests of each connection in turn, and returns
+// its address.
+func startTarget(t *testing.T, answers ...string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for _, answer := range answers {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(conn, answer)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func TestMalformedReportIsNotAccepted(t *testing.T) {
+	for name, start := range malformedHeads {
+		pool := &link.Pool{}
+		if _, err := pool.Dial(t.Context(), target.Target{Address: startTarget(t, start+"Content-Length: 2\r\n\r\n{}")}); err == nil || !link.NotSent(err) {
+			t.Errorf("%s: got %v, want an error that states that nothing was sent", name, err)
+		}
+	}
+}
+
+func TestMalformedAnswerIsNotAccepted(t *testing.T) {
+	body := "{\"Text\":\"x\"}\n{\"End\":{\"Attempt\":\"a\",\"Bytes\":1}}\n"
+	rest := fmt.Sprintf("Attempt-Id: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	send := func(start string) error {
+		pool := &link.Pool{}
+		conn, err := pool.Dial(t.Context(), target.Target{Address: startTarget(t, reportAnswer, start+rest), EchoesAttempt: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer pool.Close(conn)
+		_, err = conn.Send(context.Background(), link.Attempt{ID: "a", Kind: "llm"}, func([]byte) error { return nil })
+		return err
+	}
+	if err := send("HTTP/1.1 200 OK\r\n"); err != nil {
+		t.Fatalf("a sound answer: %v", err)
+	}
+	for name, start := range malformedHeads {
+		if err := send(start); err == nil || link.NotSent(err) {
+			t.Errorf("%s: got %v, want an error that doesn't state that nothing was sent", name, err)
+		}
+	}
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -89,8 +89,15 @@
 	// CutPlain is for engines: it sends the first event and a part of the second with neither a length
 	// nor chunks, then closes the connection.
 	CutPlain int
+	// Broken sends BrokenAnswer in place of an answer and closes the connection. AttemptMark stands for the
+	// ID of the attempt there.
+	Broken       int
+	BrokenAnswer string
 }
 
+// AttemptMark is replaced by the ID of the attempt in Fault.BrokenAnswer.
+const AttemptMark = "{Attempt}"
+
 // Execution is the journal entry of one request. Calls to stage targets have none.
 type Execution struct {
 	// AttemptID is the X-Attempt-Id header.
@@ -314,6 +321,7 @@
 	s.journal[len(s.journal)-1].Flawed = flawed
 	lose, cut, truncate, extra, hang := takeFault(&s.fault.Lose), takeFault(&s.fault.CutEvent), takeFault(&s.fault.Truncate), takeFault(&s.fault.Extra), takeFault(&s.fault.Hang)
 	endlessHead, endlessBody, cutPlain := takeFault(&s.fault.EndlessHead), takeFault(&s.fault.EndlessBody), takeFault(&s.fault.CutPlain)
+	broken, brokenAnswer := takeFault(&s.fault.Broken), s.fault.BrokenAnswer
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -339,6 +347,8 @@
 		sendEndless(w, s.plainHead(attempt))
 	case cutPlain:
 		sendAndClose(w, s.plainHead(attempt)+Event(attempt, 1)+Event(attempt, 2)[:5])
+	case broken:
+		sendAndClose(w, strings.ReplaceAll(brokenAnswer, AttemptMark, attempt))
 	case s.Profile.Kind == Engine:
 		s.writeStream(w, r, attempt, cut)
 	default:
