fix(exchange): reject answers with malformed field lines or an ambiguous length

A server in trouble sent an answer in whose head the name of a field held a blank or a control byte. The client got it as an answer, with that line passed on or with a body that was not the server's.

Cause: the HTTP library takes a line without a valid name for a continuation, or for the field it resembles: "Content-Length : 1" set the length. It accepts line ends without CR, and a length beside chunks. Trailers weren't checked at all, so that the head of the next answer passed for a trailer. Informational heads were parsed in the same way.

Change: package head checks each field line against RFC 9112 section 5, and takes the length of the body from that check alone, section 6.3: one length of digits, or chunks, or neither. Trailers are checked by the same function. Nothing that two parsers could read differently is left when the library reads the head.

--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"strings"
 	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/head"
 )
 
 // emptyBody is a body without bytes.
@@ -89,10 +92,17 @@
 		if err != nil {
 			return n, io.ErrUnexpectedEOF
 		}
-		if len(strings.TrimRight(string(line), "\r\n")) == 0 {
+		field, ok := strings.CutSuffix(string(line), "\r\n")
+		if !ok {
+			return n, fmt.Errorf("%w: a line of the trailer ends without CR", io.ErrUnexpectedEOF)
+		}
+		if field == "" {
 			c.ended = true
 			return n, io.EOF
 		}
+		if err := head.CheckField(field); err != nil {
+			return n, fmt.Errorf("%w: trailer: %v", io.ErrUnexpectedEOF, err)
+		}
 	}
 	return n, io.ErrUnexpectedEOF
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -299,7 +299,8 @@
 func (c *Conn) receive(ctx context.Context, r Request) (*Answer, error) {
 	answer := &Answer{}
 	answer.Header.SetNoDefaultContentType(true)
-	if _, err := head.AwaitAnswer(c.reader); err != nil {
+	framing, err := head.AwaitAnswer(c.reader)
+	if err != nil {
 		return nil, err
 	}
 	if err := answer.Header.Read(c.reader); err != nil {
@@ -309,27 +310,25 @@
 		_ = c.net.SetReadDeadline(c.deadline)
 	}
 	answer.Head = platform.DecodeAnswerHead(&answer.Header)
-	c.attachBody(ctx, answer, r)
+	c.attachBody(ctx, answer, framing, r)
 	return answer, nil
 }
 
 // attachBody sets the body of the answer, delimited by its length, its chunks or the end of
 // the connection.
-func (c *Conn) attachBody(ctx context.Context, answer *Answer, r Request) {
-	status := answer.Head.Status
-	length := answer.Header.ContentLength()
+func (c *Conn) attachBody(ctx context.Context, answer *Answer, h head.Answer, r Request) {
 	reusable := !answer.Header.ConnectionClose()
-	answer.Length = length
+	answer.Length = int(h.Length)
 	switch {
-	case r.NoBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+	case r.NoBody || h.Status == fasthttp.StatusNoContent || h.Status == fasthttp.StatusNotModified:
 		answer.Length, answer.Framing = 0, Length
 		answer.Body = &body{conn: c, reader: emptyBody{}, reusable: reusable}
-	case length >= 0:
-		answer.Framing = Length
-		answer.Body = &body{conn: c, reader: io.LimitReader(c.reader, int64(length)), remaining: int64(length), hasLength: true, reusable: reusable}
-	case length == chunkedLength:
+	case h.Chunked:
 		answer.Framing = Chunks
 		answer.Body = &body{conn: c, reader: &chunkedReader{reader: c.reader, chunks: httputil.NewChunkedReader(c.reader)}, reusable: reusable}
+	case h.Length != head.UnknownLength:
+		answer.Framing = Length
+		answer.Body = &body{conn: c, reader: io.LimitReader(c.reader, h.Length), remaining: h.Length, hasLength: true, reusable: reusable}
 	default:
 		answer.Framing = Connection
 		answer.Body = &body{conn: c, reader: c.reader, confirmEnd: func() error { return c.confirmEnd(ctx, r) }}
@@ -381,9 +380,6 @@
 	return nil
 }
 
-// chunkedLength is the content length that fasthttp reports for a chunked body.
-const chunkedLength = -1
-
 // maxIdleTime returns the time for which the connection may be idle: the timeout that the
 // Keep-Alive header names minus a margin, and MaxIdleTime at most.
 func maxIdleTime(h *fasthttp.ResponseHeader) time.Duration {
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -14,6 +14,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 
@@ -23,6 +24,23 @@
 // maxInformational bounds the informational answers before the expected one.
 const maxInformational = 8
 
+// lineEnd ends each line of a head.
+const lineEnd = "\r\n"
+
+// SyntaxError is the error for a head or a trailer that the grammar doesn't allow.
+type SyntaxError struct {
+	// Detail tells what is wrong, with an excerpt.
+	Detail string
+}
+
+// Error implements error.
+func (e *SyntaxError) Error() string { return "malformed head: " + e.Detail }
+
+// malformed returns a SyntaxError with a formatted detail.
+func malformed(format string, args ...any) error {
+	return &SyntaxError{Detail: fmt.Sprintf(format, args...)}
+}
+
 // ErrTooLarge is the error for a head that doesn't fit into the buffer of its reader.
 var ErrTooLarge = problem.New(problem.TooLarge, "the head is larger than its buffer")
 
@@ -30,14 +48,14 @@
 const statusSwitchingProtocols = 101
 
 // AwaitAnswer waits for the head of an answer that isn't informational, and drops informational ones before it.
-// It returns an error of kind TargetFailed if a head is malformed or there are too many, ErrTooLarge, or the
-// error of reading, which is io.ErrUnexpectedEOF inside a head.
+// It returns a SyntaxError if a head is malformed or there are too many of them, ErrTooLarge, or the error of
+// reading, which is io.ErrUnexpectedEOF inside a head.
 func AwaitAnswer(r *bufio.Reader) (Answer, error) {
 	for range maxInformational + 1 {
 		var answer Answer
 		size, err := scan(r, answer.addLine)
 		if err == nil {
-			err = answer.check()
+			err = answer.end()
 		}
 		if err != nil {
 			return Answer{}, err
@@ -91,8 +109,3 @@
 		}
 	}
 }
-
-// malformed returns an error of kind TargetFailed.
-func malformed(format string, args ...any) error {
-	return problem.New(problem.TargetFailed, "malformed answer: "+format, args...)
-}
--- a/internal/link/malformed_test.go
+++ b/internal/link/malformed_test.go
@@ -17,7 +17,10 @@
 
 // malformedHeads are heads that would otherwise be those of a whole answer; the length of the body follows.
 var malformedHeads = map[string]string{
-	"status 000": "HTTP/1.1 000 OK\r\n",
+	"status 000":             "HTTP/1.1 000 OK\r\n",
+	"blank in a name":        "HTTP/1.1 200 OK\r\nX A: b\r\n",
+	"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01A: b\r\n",
+	"folded line":            "HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\n",
 }
 
 // startTarget runs a target that sends the answers to the requests of each connection in turn, and returns
--- a/test/entry/broken_answer_test.go
+++ b/test/entry/broken_answer_test.go
@@ -16,6 +16,8 @@
 		"Content-Type: text/event-stream\r\nContent-Length: 20\r\n\r\nid: 1\ndata: broken\n\n"
 }
 
+const soundStatusLine = "HTTP/1.1 200 OK\r\n"
+
 var _ = Describe("an entry host", func() {
 	DescribeTable("MIXED: passes no malformed answer on",
 		func(statusLine, line string) {
@@ -41,5 +43,10 @@
 			}
 		},
 		Entry("with status 000", "HTTP/1.1 000 OK\r\n", ""),
+		Entry("with a blank in the name of a field", soundStatusLine, "X A: b\r\n"),
+		Entry("with a blank before a colon", soundStatusLine, "X-A : b\r\n"),
+		Entry("with a control byte in the name of a field", soundStatusLine, "X-\x01A: b\r\n"),
+		Entry("with a blank in the name of the length", soundStatusLine, "Content-Length : 5\r\n"),
+		Entry("with a folded line", soundStatusLine, "X-A: b\r\n c\r\n"),
 	)
 })
