fix(ingress): reject requests with malformed heads or trailers

A request in whose head the name of a field held a blank was passed on to a server, and so were folded lines, line ends without CR, HTTP/2.0 and chunked bodies whose trailer was another request. A server may read such a head differently from this daemon, and take a part of the body for a request.

Cause: the same as for answers; the heads of requests are read by the same library.

Change: package head checks the request line and the field lines before the library parses them, and the lines of trailers. Such a request gets 400 as other malformed ones do. One empty line before a request is still accepted, as RFC 9112 section 2.2 recommends, and so are bytes above 0x7f in the target, which some clients don't encode.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -6,9 +6,11 @@
 	"io"
 	"net/http/httputil"
 	"os"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiapick/sequoiapick/internal/head"
 	"github.com/sequoiapick/sequoiapick/internal/memory"
 	"github.com/sequoiapick/sequoiapick/pkg/route"
 )
@@ -160,11 +162,15 @@
 		if err != nil {
 			return err
 		}
-		if len(line) == 2 && line[0] == '\r' {
+		field, ok := strings.CutSuffix(string(line), "\r\n")
+		if !ok {
+			return errMalformedTrailer
+		}
+		if field == "" {
 			return nil
 		}
-		if len(line) < 2 || line[len(line)-2] != '\r' {
-			return errMalformedTrailer
+		if err := head.CheckField(field); err != nil {
+			return err
 		}
 	}
 	return errMalformedTrailer
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -25,6 +25,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiapick/sequoiapick/internal/head"
 	"github.com/sequoiapick/sequoiapick/internal/memory"
 	"github.com/sequoiapick/sequoiapick/pkg/route"
 )
@@ -278,6 +279,9 @@
 	header.DisableSpecialHeader()
 	header.SetNoDefaultContentType(true)
 	w := &Responder{conn: c, header: header}
+	if err := head.AwaitRequest(c.reader); err != nil {
+		return c.rejectHead(w, err)
+	}
 	if err := header.Read(c.reader); err != nil {
 		return c.rejectHead(w, err)
 	}
@@ -308,7 +312,7 @@
 	w.closeAfter = true
 	var small *fasthttp.ErrSmallBuffer
 	switch {
-	case errors.As(err, &small):
+	case errors.As(err, &small) || errors.Is(err, head.ErrTooLarge):
 		c.server.Handler.RejectMalformed(w, fasthttp.StatusRequestHeaderFieldsTooLarge, "the head is larger than the limit")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.server.Handler.RejectMalformed(w, fasthttp.StatusRequestTimeout, "the head took too long")
