fix(exchange): take an answer to a cut upload for whole only if all of the request was acknowledged

A server answered a long upload at once with a 200 that had no length, sent a part of its body and closed the connection while the upload was still being written. The client got that part as a complete answer.

Cause: a server that closes a connection before it has received all of the request sends a clean end, and a reset only when the rest arrives. The end of the answer may have been read by then, and no later read reports the reset. The daemon waited for the write of the request, but a write without an error only shows that the kernel has taken the bytes.

Change: at the clean end of such an answer the state of the connection is read from the kernel (TCP_INFO). The answer is whole only once the target has acknowledged the whole request and has closed its side without a reset. This is checked again after the start of the target was confirmed, for a target that closes its sending side first.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -354,10 +354,14 @@
 	case r.ConfirmStart == nil:
 		return fmt.Errorf("%w: nothing marks the end of the answer", io.ErrUnexpectedEOF)
 	}
+	if err := c.awaitDelivery(); err != nil {
+		return err
+	}
 	if err := r.ConfirmStart(ctx); err != nil {
 		return fmt.Errorf("%w: the start of the target isn't confirmed: %v", io.ErrUnexpectedEOF, err)
 	}
-	return nil
+	// A target that has closed its sending side first may have reset the connection meanwhile.
+	return c.awaitDelivery()
 }
 
 // awaitBodySent waits until the request body is written, at most for bodySendTimeout, and returns
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -93,6 +93,9 @@
 	// ID of the attempt there.
 	Broken       int
 	BrokenAnswer string
+	// CutUpload answers with a part of the answer, with neither a length nor chunks, before it reads the
+	// body, and closes the connection.
+	CutUpload int
 }
 
 // AttemptMark is replaced by the ID of the attempt in Fault.BrokenAnswer.
@@ -291,13 +294,28 @@
 		s.runStage(w, r)
 	case "/v1/stage-free":
 		s.freeResults(r)
+	case healthPath:
+		w.Header().Set("X-Instance-Id", s.ID)
 	default:
 		s.runRequest(w, r)
 	}
 }
 
+// healthPath is the path of health checks.
+const healthPath = "/health"
+
 // runRequest runs a plain request or a generation.
 func (s *Server) runRequest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	cutUpload := takeFault(&s.fault.CutUpload)
+	if cutUpload {
+		s.recordExecution(r, nil)
+	}
+	s.mu.Unlock()
+	if attempt := r.Header.Get("X-Attempt-Id"); cutUpload {
+		sendAndClose(w, s.plainHead(attempt)+Text(attempt)[:PartBytes])
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -412,6 +430,9 @@
 	return true
 }
 
+// PartBytes is the size of the part of an answer that the fault CutUpload sends.
+const PartBytes = 6
+
 // Text returns the body of a plain stand-in's answer to the attempt with an ID.
 func Text(attempt string) string { return "answer to " + attempt }
 
