--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -13,8 +13,10 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -60,6 +62,8 @@
 	// LoseAnswers is the number of next transactions that are applied but whose connection is
 	// closed without an answer.
 	LoseAnswers int
+	// Endless answers calls with a body without end, until the caller closes the connection.
+	Endless bool
 	// CutHosts holds prefixes of the names of hosts whose calls are answered with status 503.
 	CutHosts []string
 	// StaleReads serves all range reads from the rows as they were when the fault was set. The
@@ -335,6 +339,10 @@
 		time.Sleep(time.Duration(fault.DelayMillis) * time.Millisecond)
 	}
 	switch {
+	case fault.Endless:
+		c.HijackSetNoResponse(true)
+		c.Hijack(sendEndless)
+		return true
 	case fault.Silent:
 		time.Sleep(silentDelay)
 	case fault.Busy:
@@ -347,6 +355,14 @@
 	return false
 }
 
+// sendEndless sends the start of an answer, then blanks until the connection is closed.
+func sendEndless(conn net.Conn) {
+	blanks := bytes.Repeat([]byte(" "), 64<<10)
+	for _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n{"); err == nil; {
+		_, err = conn.Write(blanks)
+	}
+}
+
 // callerHasPrefix reports whether the name of the calling host has one of the prefixes. The name
 // follows the slash in the User-Agent header.
 func callerHasPrefix(c *fasthttp.RequestCtx, prefixes []string) bool {
--- a/test/entry/endless_test.go
+++ b/test/entry/endless_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	standinplatform "github.com/sequoiapick/sequoiapick/internal/standin/platform"
 	"github.com/sequoiapick/sequoiapick/internal/standin/service"
 )
 
@@ -80,4 +81,20 @@
 		Entry("a body, stream", "resumable", "llm", service.Fault{EndlessBody: 1000}),
 		Entry("a body, stream that runs once", "once", "llm", service.Fault{EndlessBody: 1000}),
 	)
+
+	It("keeps nothing of a store's answers without end", func() {
+		f := newFleet(1)
+		d := f.daemons[0]
+		Expect(f.sendOne("safe", d).status).To(Equal(200))
+		f.store.SetFault(standinplatform.Fault{Endless: true})
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			Expect(f.sendOne("safe", d).status).To(Equal(200), "the daemon has ended or follows no configuration")
+		}
+		Expect(d.peakMemory()).To(BeNumerically("<", maxMemory))
+		f.store.SetFault(standinplatform.Fault{})
+		f.routes[0]["prefix"] = "/later/"
+		f.configure()
+		Eventually(func() int { return f.sendOne("later", d).status }).WithTimeout(5 * time.Second).Should(Equal(200))
+	})
 })
