fix(link): bound the texts of an answer

A faulty target that sent frames without end filled the memory of the daemon of serve until the deadline.

Cause: each frame of an answer was bounded, but not their number, and the texts of a stage are kept as the input of the next one.

Change: an answer with over 16 MB of texts fails, as a target that fails does.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -57,6 +57,9 @@
 	ReportTimeout = time.Second
 	// MaxIdleTime is the idle time after which a connection is no longer reused.
 	MaxIdleTime = 5 * time.Second
+	// MaxAnswerBytes is the maximum length of the texts of one answer, which are kept as the input of the next
+	// stage.
+	MaxAnswerBytes = 16 << 20
 	// MaxIdleConnsPerTarget is the maximum number of idle connections to one address.
 	MaxIdleConnsPerTarget = 64
 )
@@ -396,11 +399,15 @@
 		return Result{}, &SendError{Err: problem.New(problem.TargetFailed, "answer without a body")}
 	}
 	reader := frame.NewReader(stream)
+	size := 0
 	for {
 		f, err := reader.Next()
 		if err != nil {
 			return Result{}, sendFailed("answer", err)
 		}
+		if size += len(f.Text); size > MaxAnswerBytes {
+			return Result{}, &SendError{Err: problem.New(problem.TargetFailed, "the answer has more than %d bytes", MaxAnswerBytes)}
+		}
 		if f.End == nil {
 			if err := sink([]byte(f.Text)); err != nil {
 				return Result{}, &SendError{Err: err}
--- a/internal/standin/service/fault.go
+++ b/internal/standin/service/fault.go
@@ -41,8 +41,8 @@
 	return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Signature: " + s.ID + "." + attempt + "\r\nConnection: close\r\n\r\n"
 }
 
-// sendEndless sends the start, then the letter x until the connection is closed.
-func sendEndless(w http.ResponseWriter, start string) {
+// sendEndless sends the start, then the repeated text until the connection is closed.
+func sendEndless(w http.ResponseWriter, start, repeat string) {
 	h, ok := w.(http.Hijacker)
 	if !ok {
 		return
@@ -52,7 +52,7 @@
 		return
 	}
 	defer conn.Close()
-	filler := bytes.Repeat([]byte("x"), 64<<10)
+	filler := bytes.Repeat([]byte(repeat), 64<<10/len(repeat)+1)
 	for _, err = io.WriteString(conn, start); err == nil; {
 		_, err = conn.Write(filler)
 	}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -93,12 +93,16 @@
 	// ID of the attempt there.
 	Broken       int
 	BrokenAnswer string
+	// Endless sends EndlessStart, in which AttemptMark stands for the ID of the attempt, then EndlessRepeat again
+	// and again until the connection is closed.
+	Endless                     int
+	EndlessStart, EndlessRepeat string
 	// CutUpload answers with a part of the answer, with neither a length nor chunks, before it reads the
 	// body, and closes the connection.
 	CutUpload int
 }
 
-// AttemptMark is replaced by the ID of the attempt in Fault.BrokenAnswer.
+// AttemptMark is replaced by the ID of the attempt in Fault.BrokenAnswer and Fault.EndlessStart.
 const AttemptMark = "{Attempt}"
 
 // Execution is the journal entry of one request. Calls to stage targets have none.
@@ -340,6 +344,7 @@
 	lose, cut, truncate, extra, hang := takeFault(&s.fault.Lose), takeFault(&s.fault.CutEvent), takeFault(&s.fault.Truncate), takeFault(&s.fault.Extra), takeFault(&s.fault.Hang)
 	endlessHead, endlessBody, cutPlain := takeFault(&s.fault.EndlessHead), takeFault(&s.fault.EndlessBody), takeFault(&s.fault.CutPlain)
 	broken, brokenAnswer := takeFault(&s.fault.Broken), s.fault.BrokenAnswer
+	endless, endlessStart, endlessRepeat := takeFault(&s.fault.Endless), s.fault.EndlessStart, s.fault.EndlessRepeat
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -360,9 +365,11 @@
 	case lose:
 		closeConnection(w)
 	case endlessHead:
-		sendEndless(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Filler: ")
+		sendEndless(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Filler: ", "x")
 	case endlessBody:
-		sendEndless(w, s.plainHead(attempt))
+		sendEndless(w, s.plainHead(attempt), "x")
+	case endless:
+		sendEndless(w, strings.ReplaceAll(endlessStart, AttemptMark, attempt), endlessRepeat)
 	case cutPlain:
 		sendAndClose(w, s.plainHead(attempt)+Event(attempt, 1)+Event(attempt, 2)[:5])
 	case broken:
--- a/test/entry/fleet_test.go
+++ b/test/entry/fleet_test.go
@@ -39,6 +39,8 @@
 	version int
 	// routes are the routes of the next configuration in the JSON format of the store.
 	routes []map[string]any
+	// memoryMegabytes is the memory of each daemon's host.
+	memoryMegabytes int
 	// contracts are the optional parts of the platform that the settings list.
 	contracts []string
 	// keys are the API keys of each tenant.
@@ -83,7 +85,15 @@
 // llm streams answers; it needs inputs that the services billing and portal compute in stages
 // before it and store until it fetches them.
 func newFleet(daemons int, contracts ...string) *fleet {
-	f := &fleet{store: &standinplatform.Server{}, contracts: contracts, keys: map[string][]string{"bozi": {"k1"}, "huvo": {"k2"}}}
+	return newFleetOf(daemons, defaultMemoryMegabytes, contracts...)
+}
+
+// defaultMemoryMegabytes is the memory of most hosts.
+const defaultMemoryMegabytes = 284
+
+// newFleetOf is newFleet with the memory of each daemon's host.
+func newFleetOf(daemons, memoryMegabytes int, contracts ...string) *fleet {
+	f := &fleet{store: &standinplatform.Server{}, memoryMegabytes: memoryMegabytes, contracts: contracts, keys: map[string][]string{"bozi": {"k1"}, "huvo": {"k2"}}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	f.address = listener.Addr().String()
@@ -276,7 +286,7 @@
 [limits]
 cpuShare = 0.4
 cores = 1
-memoryMb = 284
+memoryMb = %d
 maxFds = 4100
 linkMbps = 1000.0
 [bounds]
@@ -296,7 +306,7 @@
 writesPerS = 400
 readsPerS = 2000
 rowBytes = 65536
-`, d.host, dataCentre, ip, heartbeatInterval.Milliseconds(), f.contractLine(), d.frontAddress, d.readyAddress, freeAddress(ip), f.address)
+`, d.host, dataCentre, ip, heartbeatInterval.Milliseconds(), f.contractLine(), d.frontAddress, d.readyAddress, freeAddress(ip), f.memoryMegabytes, f.address)
 	Expect(os.WriteFile(d.settingsPath, []byte(text), 0o600)).To(Succeed())
 	f.daemons = append(f.daemons, d)
 }
