fix(forward): pass on only what ends before a stopping daemon closes its connections

In a planned stop of one host, in calm, requests that came late in the grace were taken and passed on. At the end of the grace they were cut, among them requests that may not be repeated.

Cause: a stopping daemon passed requests on until 2 s before it closed its connections, whatever their targets needed. A request whose body is still arriving is read until the end of the grace.

Change: from the signal on, a request is passed on only if its deadline is before the time at which the connections are closed; any other one is rejected at once with a true 503. How long a target needs isn't known, so only the deadline bounds it. A request that was read before the signal and may be repeated still waits for its target, since its stages have run. Requests that are read after the last ones were cancelled are rejected.

Evidence: the spec "cuts off no request that arrives during a planned stop" sends 326 requests of each kind on open connections, read at each tenth of a second of the grace and each 10 ms of its end, with deadlines of 2 to 9 s. TestStopPassesOnWhatEndsBeforeIt and TestStopRejectsWaitingRequestThatRunsOnce need the change to compile.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -103,7 +103,9 @@
 
 	listeners listeners
 	stopping  atomic.Bool
-	tasks     tasks
+	// closesAt is when a stop closes the connections of clients; it is zero before.
+	closesAt time.Time
+	tasks    tasks
 }
 
 // listeners are the listeners for clients (callers in the settings), for the load balancer's
@@ -383,6 +385,8 @@
 // load balancer to remove the host.
 func announceStop(d *Daemon, _ context.Context) error {
 	d.stopping.Store(true)
+	d.closesAt = d.Clock.Now().Add(d.settings.Bounds.StopGrace - stopMargin)
+	d.forwarder.AnnounceStop(d.closesAt)
 	d.log.Emit(event.DaemonStopping, "Connections", d.ingress.OpenConnections())
 	d.ingress.Drain()
 	d.mesh.AnnounceStop()
@@ -403,8 +407,7 @@
 // wait for a target are rejected stopAnswerTime before that, since the end of their connection would leave
 // their clients without an answer.
 func waitForRequests(d *Daemon, _ context.Context) error {
-	grace := d.settings.Bounds.StopGrace
-	left := grace - min(balancerDelay, grace/3) - stopMargin
+	left := d.closesAt.Sub(d.Clock.Now())
 	deadline := d.Clock.After(left)
 	reject := d.Clock.After(left - min(stopAnswerTime, left/2))
 	done := make(chan struct{})
@@ -431,6 +434,7 @@
 // shutDown answers the requests that were not completed, closes the remaining client connections and stops
 // all tasks.
 func shutDown(d *Daemon, _ context.Context) error {
+	d.forwarder.RejectWaiting() // also what is read from now on
 	d.ingress.Cancel(errStopped)
 	answered := make(chan struct{})
 	go func() {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -74,36 +74,7 @@
 	sizes    meanSizes
 	unframed unframedTargets
 
-	stopOnce sync.Once
-	// stopping is closed once RejectWaiting was called; see stopSignal.
-	stopping chan struct{}
-	stopInit sync.Once
-}
-
-// errStopping ends the requests that wait when the daemon stops.
-var errStopping = problem.New(problem.Stopping, "the daemon is stopping")
-
-// RejectWaiting rejects the requests that wait to be sent to a target, and each later one, as not run. A
-// stopping daemon calls it when an answer could hardly be complete before it closes its connections: the
-// client can still go elsewhere.
-func (f *Forwarder) RejectWaiting() {
-	f.stopOnce.Do(func() { close(f.stopSignal()) })
-}
-
-// stopSignal returns the channel that RejectWaiting closes.
-func (f *Forwarder) stopSignal() chan struct{} {
-	f.stopInit.Do(func() { f.stopping = make(chan struct{}) })
-	return f.stopping
-}
-
-// rejectsWaiting reports whether RejectWaiting was called.
-func (f *Forwarder) rejectsWaiting() bool {
-	select {
-	case <-f.stopSignal():
-		return true
-	default:
-		return false
-	}
+	stop stop
 }
 
 // loads returns the load of the targets that run plain requests.
@@ -136,6 +107,8 @@
 	resendFresh bool
 	// witness is the connection of openWitness, nil if there is none.
 	witness *exchange.Conn
+	// readAt is when the request was read completely.
+	readAt time.Time
 	// mayHaveRun is set as soon as a target may have run the request.
 	mayHaveRun bool
 	// reached is set once the request was sent to its service. lastHead is the head of the last answer,
@@ -195,7 +168,7 @@
 
 // Handle implements ingress.Handler.
 func (f *Forwarder) Handle(ctx context.Context, r *ingress.Request, w *ingress.Responder) {
-	q := &requestState{f: f, request: r, w: w, tried: map[string]bool{}}
+	q := &requestState{f: f, request: r, w: w, readAt: f.Clock.Now(), tried: map[string]bool{}}
 	if err := q.admit(); err != nil {
 		q.reject(err, 0)
 		return
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -34,8 +34,11 @@
 	if err == nil {
 		err = q.checkQuarantine()
 	}
+	if err == nil && q.rejectedByStop() {
+		err = errStopping
+	}
 	if err != nil {
-		q.reject(err, 0)
+		q.reject(err, retryAfterStop(err))
 		return
 	}
 	ticket := q.f.Scheduler.Submit(job)
@@ -62,6 +65,10 @@
 			q.failGeneration(ctx, s, err, 0)
 			return
 		}
+		if q.rejectedByStop() {
+			q.failGeneration(ctx, s, errStopping, stopRetryAfter)
+			return
+		}
 		q.assignedAt = q.f.Clock.Now()
 		target, known := q.f.Inventory.Target(assigned.Target)
 		if !known || !target.Usable() || !target.HeldUntil.IsZero() {
@@ -220,17 +227,24 @@
 // awaitUpdate returns the next update of the ticket. Its error has kind Late when the context ends, and
 // kind Stopping when the daemon stops and no engine can have run the request.
 func (q *requestState) awaitUpdate(ctx context.Context, s *stream, ticket *scheduler.Ticket) (scheduler.Update, error) {
-	stopping := q.f.stopSignal()
+	announced, rejecting := q.f.stop.signals()
 	if q.mayHaveRun || s.started() {
-		stopping = nil // what has begun may still be resumed
-	}
-	select {
-	case u := <-ticket.Updates:
-		return u, nil
-	case <-ctx.Done():
-		return nil, problem.New(problem.Late, "%v", context.Cause(ctx))
-	case <-stopping:
-		return nil, errStopping
+		announced, rejecting = nil, nil // what has begun may still be resumed
+	}
+	for {
+		select {
+		case u := <-ticket.Updates:
+			return u, nil
+		case <-ctx.Done():
+			return nil, problem.New(problem.Late, "%v", context.Cause(ctx))
+		case <-rejecting:
+			return nil, errStopping
+		case <-announced:
+			if q.rejectedByStop() {
+				return nil, errStopping
+			}
+			announced = nil
+		}
 	}
 }
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -20,9 +20,6 @@
 	// coldPollInterval is the time between two checks whether the rate limit of a cold target
 	// allows one more request.
 	coldPollInterval = 20 * time.Millisecond
-	// stopRetryAfter is the delay that a client is asked to wait if this daemon stops; another daemon may
-	// serve it at once.
-	stopRetryAfter = 10 * time.Millisecond
 	// noUrgency omits the urgency from the forwarded request.
 	noUrgency = -1
 )
@@ -32,8 +29,8 @@
 func (q *requestState) answerPlain(ctx context.Context) {
 	last, retryAfter := problem.New(problem.Unavailable, "no usable target"), busyRetryAfter
 	for !q.isOver(ctx) {
-		if !q.mayHaveRun && q.f.rejectsWaiting() {
-			last = errStopping
+		if q.rejectedByStop() {
+			last, retryAfter = errStopping, stopRetryAfter
 			break
 		}
 		target, ok, rateLimited := q.choose()
@@ -110,14 +107,6 @@
 	}
 }
 
-// retryAfterStop returns stopRetryAfter if the error says that the daemon stops, otherwise 0.
-func retryAfterStop(err error) time.Duration {
-	if problem.Of(err) == problem.Stopping {
-		return stopRetryAfter
-	}
-	return 0
-}
-
 // sleep waits for d or until the context ends.
 func (f *Forwarder) sleep(ctx context.Context, d time.Duration) {
 	select {
