fix(forward): join only its rest to a stream that broke off

A stream had begun and broke off; the next server answered with an error. Clients found the error's text in the middle of their stream, or the stream ended as if it were complete.

Cause: any answer with status 200 was taken for the rest of a resumable stream. Neither its type nor the IDs of its events were looked at, and a stream without IDs was resumed from its start.

Change: an answer continues a stream only if it states the same type or none, has no content encoding, and its first event has the ID behind the last one. Otherwise it counts as an answer that broke off. An answer without an event is the rest only if it states the type of the stream. A stream whose last event has no ID isn't resumed.

--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -97,7 +97,7 @@
 		if outcome.done {
 			return
 		}
-		if ctx.Err() != nil || s.started() && !q.route.Resumable || q.mayHaveRun && !q.route.Idempotent() {
+		if ctx.Err() != nil || s.started() && !s.isResumable() || q.mayHaveRun && !q.route.Idempotent() {
 			if outcome.crashedAtStart {
 				ticket.EngineCrashedAtStart()
 			}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/exchange"
@@ -19,6 +20,12 @@
 type stream struct {
 	request     *requestState
 	lastEventID string
+	// sequence follows the events that the client has got.
+	sequence eventSequence
+	// mediaType is that of the first answer, empty if it didn't state one.
+	mediaType string
+	// joining is set while an answer that is to continue the stream has had no event yet.
+	joining bool
 	// events is the number of writes of events to the client.
 	events int
 	// firstEventAt is when the first event of the last answer arrived, zero if none did.
@@ -44,7 +51,14 @@
 // engine may continue it. The error is errClientWrite, or that of reading the answer.
 func (s *stream) relay(ctx context.Context, answer *exchange.Answer) error {
 	s.pending = s.pending[:0]
-	if !s.started() {
+	s.joining = s.started()
+	if s.joining {
+		if err := s.checkContinuation(answer); err != nil {
+			return err
+		}
+	} else {
+		s.mediaType = mediaTypeOf(answer)
+		s.sequence.after = s.request.headers.LastEventID
 		length := int64(answer.Length)
 		if answer.Length < 0 || s.request.route.Resumable {
 			length = -1
@@ -78,7 +92,7 @@
 				answer.Progressed()
 			}
 		}
-		if err == io.EOF && s.brokenOff(answer, s.events == eventsBefore) {
+		if err == io.EOF && (s.brokenOff(answer, s.events == eventsBefore) || s.joining && mediaTypeOf(answer) != s.mediaType) {
 			return io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
@@ -90,6 +104,52 @@
 	}
 }
 
+// eventStreamType is the media type of streams.
+const eventStreamType = "text/event-stream"
+
+// mediaTypeOf returns the media type of an answer in lower case, without parameters; empty if it states none.
+func mediaTypeOf(answer *exchange.Answer) string {
+	name, _, _ := strings.Cut(string(answer.Header.ContentType()), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
+// checkContinuation returns an error of kind TargetFailed if the head of an answer shows that it isn't the rest of the
+// stream: it is of another type, or encoded.
+func (s *stream) checkContinuation(answer *exchange.Answer) error {
+	want := s.mediaType
+	if want == "" {
+		want = eventStreamType
+	}
+	if got := mediaTypeOf(answer); got != "" && got != want || answer.Head.Encoded {
+		return problem.New(problem.TargetFailed, "an answer of type %q, encoded %v, doesn't continue a stream of type %q", got, answer.Head.Encoded, s.mediaType)
+	}
+	return nil
+}
+
+// isResumable reports whether another answer can continue the stream. What the client has got must end with an event
+// that has an ID.
+func (s *stream) isResumable() bool {
+	return s.request.route.Resumable && s.sequence.isResumable()
+}
+
+// joinEvents drops what is before the first event of an answer that is to continue the stream, and returns the rest.
+// Its error is of kind TargetFailed if that event, or what is no event, shows that the answer doesn't.
+func (s *stream) joinEvents(whole []byte) ([]byte, error) {
+	for len(whole) > 0 {
+		end := bytes.Index(whole, eventSeparator) + len(eventSeparator)
+		block := whole[:end]
+		switch {
+		case hasData(block) && s.sequence.isContinuedBy(block):
+			s.joining = false
+			return whole, nil
+		case hasData(block) || !isComment(block):
+			return nil, problem.New(problem.TargetFailed, "the answer doesn't go on behind event %q: %.60q", s.sequence.last, block)
+		}
+		whole = whole[end:]
+	}
+	return nil, nil
+}
+
 // brokenOff reports whether the end of an answer shows that it isn't complete: it ends inside an
 // event, or with its connection before any event.
 func (s *stream) brokenOff(answer *exchange.Answer, empty bool) bool {
@@ -124,6 +184,18 @@
 		end = len(s.pending)
 	}
 	whole := s.pending[:end]
+	if s.joining {
+		joined, err := s.joinEvents(whole)
+		if err != nil {
+			return err
+		}
+		whole = joined
+	}
+	if len(whole) == 0 {
+		s.pending = append(s.pending[:0], s.pending[end:]...)
+		return nil
+	}
+	s.recordEvents(whole)
 	s.events++
 	s.times.eventsArrived(bytes.Count(whole, eventSeparator))
 	if err := s.write(whole); err != nil {
@@ -136,6 +208,16 @@
 	return nil
 }
 
+// recordEvents adds events to the sequence if the stream may have to be resumed.
+func (s *stream) recordEvents(whole []byte) {
+	if !s.request.route.Resumable {
+		return
+	}
+	for block := range bytes.SplitSeq(bytes.TrimSuffix(whole, eventSeparator), eventSeparator) {
+		s.sequence.add(block)
+	}
+}
+
 // write passes bytes to the client, through ahead if it is set.
 func (s *stream) write(p []byte) error {
 	if s.ahead != nil {
