--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -92,7 +92,7 @@
 				answer.Progressed()
 			}
 		}
-		if err == io.EOF && (s.brokenOff(answer, s.events == eventsBefore) || s.joining && mediaTypeOf(answer) != s.mediaType) {
+		if err == io.EOF && (s.brokenOff(answer, s.events == eventsBefore) || s.joining && !s.statesType(answer)) {
 			return io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
@@ -113,14 +113,16 @@
 	return strings.ToLower(strings.TrimSpace(name))
 }
 
+// statesType reports whether an answer states the type of the stream; if its first answer stated none, as that does.
+func (s *stream) statesType(answer *exchange.Answer) bool {
+	got := mediaTypeOf(answer)
+	return got == s.mediaType || s.mediaType == "" && got == eventStreamType
+}
+
 // checkContinuation returns an error of kind TargetFailed if the head of an answer shows that it isn't the rest of the
-// stream: it is of another type, or encoded.
+// stream: it states another type, or is encoded.
 func (s *stream) checkContinuation(answer *exchange.Answer) error {
-	want := s.mediaType
-	if want == "" {
-		want = eventStreamType
-	}
-	if got := mediaTypeOf(answer); got != "" && got != want || answer.Head.Encoded {
+	if got := mediaTypeOf(answer); got != "" && !s.statesType(answer) || answer.Head.Encoded {
 		return problem.New(problem.TargetFailed, "an answer of type %q, encoded %v, doesn't continue a stream of type %q", got, answer.Head.Encoded, s.mediaType)
 	}
 	return nil
