--- a/internal/forward/resume_test.go
+++ b/internal/forward/resume_test.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/sequoiapick/sequoiapick/internal/memory"
+	"github.com/sequoiapick/sequoiapick/internal/standin/raw"
 	"github.com/sequoiapick/sequoiapick/pkg/route"
 )
 
@@ -31,36 +31,25 @@
 }
 
 // startBroken runs a target that answers the first request that any of them gets with the first events and a part of
-// the next one, and each later one with what later returns for its attempt.
-func startBroken(t *testing.T, requests *atomic.Int32, first string, later func(attempt string) string) string {
+// the next one, and each later one with the later answer.
+func startBroken(t *testing.T, requests *atomic.Int32, first, later string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, stop, err := raw.Serve(func(conn net.Conn, calls *bufio.Reader) {
+		r := raw.SkipRequest(calls)
+		if r == nil || r.Header.Get("X-Attempt-Id") == "" {
+			return
+		}
+		if requests.Add(1) == 1 {
+			_, _ = io.WriteString(conn, first)
+			return
+		}
+		_, _ = io.WriteString(conn, later)
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil || r.Header.Get("X-Attempt-Id") == "" {
-					return
-				}
-				attempt := r.Header.Get("X-Attempt-Id")
-				if requests.Add(1) == 1 {
-					_, _ = io.WriteString(conn, first)
-					return
-				}
-				_, _ = io.WriteString(conn, later(attempt))
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	t.Cleanup(stop)
+	return address
 }
 
 // streamHead is the head of a stream without the fields of its framing.
@@ -127,7 +116,7 @@
 				}
 				var requests atomic.Int32
 				first := framed("neither", streamHead, eventsFrom(1)[:len(event(1))*cutEvents+3])
-				later := func(string) string { return framed(framing, a.head, a.body) }
+				later := framed(framing, a.head, a.body)
 				addresses := map[string]string{"i-1": startBroken(t, &requests, first, later), "i-2": startBroken(t, &requests, first, later)}
 				address := startForwarderWith(t, route.Route{Kind: route.Streaming, Resumable: true, MaxAttempts: 2}, addresses, budget)
 				got, complete, err := get(address, "1.1")
@@ -155,7 +144,7 @@
 func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
 	for _, sent := range []string{"data: x1\n\n", event(1) + "data: x2\n\n", "<html>\n\n"} {
 		var requests atomic.Int32
-		later := func(string) string { return framed("length", streamHead, eventsFrom(1)) }
+		later := framed("length", streamHead, eventsFrom(1))
 		first := framed("neither", streamHead, sent+"dat")
 		addresses := map[string]string{"i-1": startBroken(t, &requests, first, later), "i-2": startBroken(t, &requests, first, later)}
 		got, complete, err := get(startForwarderTo(t, route.Route{Kind: route.Streaming, Resumable: true, MaxAttempts: 2}, addresses), "1.1")
--- a/internal/link/endless_test.go
+++ b/internal/link/endless_test.go
@@ -5,13 +5,13 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/link"
+	"github.com/sequoiapick/sequoiapick/internal/standin/raw"
 	"github.com/sequoiapick/sequoiapick/pkg/target"
 )
 
@@ -19,40 +19,18 @@
 // is the endless answer, and the next with the start and then the repeated text until the connection is closed.
 func startEndless(t *testing.T, reports bool, start, repeat string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
+	return serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		if raw.SkipRequest(requests) == nil {
+			return
+		}
+		if reports {
+			_, _ = io.WriteString(conn, reportAnswer)
+			if raw.SkipRequest(requests) == nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for n := 0; ; n++ {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					if n == 0 && reports {
-						_, _ = io.WriteString(conn, reportAnswer)
-						continue
-					}
-					filler := strings.Repeat(repeat, 64<<10/len(repeat)+1)
-					for _, err = io.WriteString(conn, start); err == nil; {
-						_, err = io.WriteString(conn, filler)
-					}
-					return
-				}
-			}()
 		}
-	}()
-	return listener.Addr().String()
+		raw.SendEndless(conn, start, repeat)
+	})
 }
 
 // TestAnswersWithoutEndAreDropped answers with bytes without end. What is passed on and what is allocated must
--- a/internal/link/malformed_test.go
+++ b/internal/link/malformed_test.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"testing"
 
 	"github.com/sequoiapick/sequoiapick/internal/link"
+	"github.com/sequoiapick/sequoiapick/internal/standin/raw"
 	"github.com/sequoiapick/sequoiapick/pkg/target"
 )
 
@@ -27,32 +27,25 @@
 // its address.
 func startTarget(t *testing.T, answers ...string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
+	return serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		for _, answer := range answers {
+			if raw.SkipRequest(requests) == nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for _, answer := range answers {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(conn, answer)
-				}
-			}()
+			_, _ = io.WriteString(conn, answer)
 		}
-	}()
-	return listener.Addr().String()
+	})
+}
+
+// serve runs a target until the end of the test and returns its address.
+func serve(t *testing.T, handle func(conn net.Conn, requests *bufio.Reader)) string {
+	t.Helper()
+	address, stop, err := raw.Serve(handle)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return address
 }
 
 func TestMalformedReportIsNotAccepted(t *testing.T) {
