--- a/internal/exchange/grammar_test.go
+++ b/internal/exchange/grammar_test.go
@@ -22,17 +22,17 @@
 	body string
 }
 
-// Lines of a sound head whose body has two bytes.
+// Lines of a sound head, with their line ends, whose body has two bytes.
 const (
-	id     = "X-Attempt-Id: a\r\n"
-	length = "Content-Length: 2\r\n"
-	ok     = "HTTP/1.1 200 OK\r\n"
+	idLine     = "X-Attempt-Id: a\r\n"
+	lengthLine = "Content-Length: 2\r\n"
+	okLine     = "HTTP/1.1 200 OK\r\n"
 )
 
 // statusLineCases has a row for each production of the status line, RFC 9112 section 4, and for the codes of
 // RFC 9110 section 15.
 func statusLineCases() []grammarCase {
-	line := func(l string) string { return l + "\r\n" + id + length + "\r\nok" }
+	line := func(l string) string { return l + "\r\n" + idLine + lengthLine + "\r\nok" }
 	return []grammarCase{
 		{"version 1.1", line("HTTP/1.1 200 OK"), 200, "ok"},
 		{"version 1.0", line("HTTP/1.0 200 OK"), 200, "ok"},
@@ -41,8 +41,8 @@
 		{"reason with obs-text", line("HTTP/1.1 200 gut \xfc"), 200, "ok"},
 		{"unknown code of a known class", line("HTTP/1.1 299 OK"), 299, "ok"},
 		{"highest code", line("HTTP/1.1 599 Odd"), 599, "ok"},
-		{"informational before the head", "HTTP/1.1 100 Continue\r\n\r\n" + line(ok[:len(ok)-2]), 200, "ok"},
-		{"informational with fields", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + line(ok[:len(ok)-2]), 200, "ok"},
+		{"informational before the head", "HTTP/1.1 100 Continue\r\n\r\n" + line(okLine[:len(okLine)-2]), 200, "ok"},
+		{"informational with fields", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + line(okLine[:len(okLine)-2]), 200, "ok"},
 		{"code 000", line("HTTP/1.1 000 OK"), 0, ""},
 		{"code 099", line("HTTP/1.1 099 OK"), 0, ""},
 		{"code 600", line("HTTP/1.1 600 OK"), 0, ""},
@@ -68,12 +68,12 @@
 		{"version with two digits", line("HTTP/1.11 200 OK"), 0, ""},
 		{"version without a minor number", line("HTTP/1 200 OK"), 0, ""},
 		{"another protocol", line("ICY 200 OK"), 0, ""},
-		{"no status line", id + length + "\r\nok", 0, ""},
+		{"no status line", idLine + lengthLine + "\r\nok", 0, ""},
 		{"control byte in the reason", line("HTTP/1.1 200 O\x01K"), 0, ""},
 		{"NUL in the reason", line("HTTP/1.1 200 O\x00K"), 0, ""},
 		{"CR in the reason", line("HTTP/1.1 200 O\rK"), 0, ""},
-		{"line end without CR", "HTTP/1.1 200 OK\n" + id + length + "\r\nok", 0, ""},
-		{"switch of protocols that wasn't asked for", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n" + id + length + "\r\nok", 0, ""},
+		{"line end without CR", "HTTP/1.1 200 OK\n" + idLine + lengthLine + "\r\nok", 0, ""},
+		{"switch of protocols that wasn't asked for", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n" + idLine + lengthLine + "\r\nok", 0, ""},
 		{"informational with code 000 before the head", "HTTP/1.1 000 Continue\r\n\r\n" + line("HTTP/1.1 200 OK"), 0, ""},
 	}
 }
--- a/internal/forward/resume_test.go
+++ b/internal/forward/resume_test.go
@@ -52,10 +52,16 @@
 	return address
 }
 
-// streamHead is the head of a stream without the fields of its framing.
-const streamHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
+// The heads of answers without the fields of their framing: one that states no type, and that of a stream.
+const (
+	untypedHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n"
+	streamHead  = untypedHead + "Content-Type: text/event-stream\r\n"
+)
+
+// headOfType returns a head that states a media type.
+func headOfType(mediaType string) string { return untypedHead + "Content-Type: " + mediaType + "\r\n" }
 
-// framed returns an answer with a framing.
+// framed returns a whole answer with a framing; unlike frame it takes any head.
 func framed(framing, head, body string) string {
 	switch framing {
 	case "length":
@@ -81,16 +87,16 @@
 	}
 	answers := []answer{
 		{"the rest", streamHead, eventsFrom(cutEvents + 1), true},
-		{"the rest without a type", strings.ReplaceAll(streamHead, "Content-Type: text/event-stream\r\n", ""), eventsFrom(cutEvents + 1), true},
+		{"the rest without a type", untypedHead, eventsFrom(cutEvents + 1), true},
 		{"the rest behind a comment", streamHead, ": hello\n\n" + eventsFrom(cutEvents+1), true},
-		{"the rest with parameters of the type", strings.ReplaceAll(streamHead, "event-stream", "event-stream; charset=utf-8"), eventsFrom(cutEvents + 1), true},
-		{"a page", strings.ReplaceAll(streamHead, "text/event-stream", "text/html"), html, false},
+		{"the rest with parameters of the type", headOfType("text/event-stream; charset=utf-8"), eventsFrom(cutEvents + 1), true},
+		{"a page", headOfType("text/html"), html, false},
 		{"a page as a stream", streamHead, html, false},
-		{"a page without a type", strings.ReplaceAll(streamHead, "Content-Type: text/event-stream\r\n", ""), html, false},
-		{"an empty page", strings.ReplaceAll(streamHead, "text/event-stream", "text/html"), "", false},
-		{"an empty answer without a type", strings.ReplaceAll(streamHead, "Content-Type: text/event-stream\r\n", ""), "", false},
-		{"JSON", strings.ReplaceAll(streamHead, "text/event-stream", "application/json"), `{"error":"x"}` + "\n\n", false},
-		{"the rest of another type", strings.ReplaceAll(streamHead, "text/event-stream", "text/plain"), eventsFrom(cutEvents + 1), false},
+		{"a page without a type", untypedHead, html, false},
+		{"an empty page", headOfType("text/html"), "", false},
+		{"an empty answer without a type", untypedHead, "", false},
+		{"JSON", headOfType("application/json"), `{"error":"x"}` + "\n\n", false},
+		{"the rest of another type", headOfType("text/plain"), eventsFrom(cutEvents + 1), false},
 		{"the rest with a coding", streamHead + "Content-Encoding: gzip\r\n", eventsFrom(cutEvents + 1), false},
 		{"the stream from its start", streamHead, eventsFrom(1), false},
 		{"the last event again", streamHead, eventsFrom(cutEvents), false},
--- a/test/entry/broken_answer_test.go
+++ b/test/entry/broken_answer_test.go
@@ -9,13 +9,14 @@
 	"github.com/sequoiapick/sequoiapick/internal/standin/service"
 )
 
-// brokenHead returns an answer with a status line and a further header line, each with its line end, that
+// brokenAnswer returns an answer with a status line and a further header line, each with its line end, that
 // would otherwise be a whole answer.
-func brokenHead(statusLine, line string) string {
+func brokenAnswer(statusLine, line string) string {
 	return statusLine + "X-Attempt-Id: " + service.AttemptMark + "\r\nX-Response-Signature: s." + service.AttemptMark + "\r\n" + line +
 		"Content-Type: text/event-stream\r\nContent-Length: 20\r\n\r\nid: 1\ndata: broken\n\n"
 }
 
+// soundStatusLine is the status line of a success, with its line end.
 const soundStatusLine = "HTTP/1.1 200 OK\r\n"
 
 var _ = Describe("an entry host", func() {
@@ -26,7 +27,7 @@
 			d := f.daemons[0]
 			for route, serviceName := range map[string]string{"safe": "desk", "unsafe": "desk", "resumable": "llm", "once": "llm"} {
 				faulty := f.serversOf(serviceName)[0]
-				faulty.SetFault(service.Fault{Broken: 1000, BrokenAnswer: brokenHead(statusLine, line)})
+				faulty.SetFault(service.Fault{Broken: 1000, BrokenAnswer: brokenAnswer(statusLine, line)})
 				for range attempts {
 					a := f.sendOne(route, d)
 					Expect(a.answer).NotTo(ContainSubstring("broken"), "%s: status %d", route, a.status)
@@ -35,7 +36,7 @@
 						Expect(a.complete).To(BeTrue(), route)
 					}
 				}
-				f.setFault(serviceName, service.Fault{Broken: 1000, BrokenAnswer: brokenHead(statusLine, line)})
+				f.setFault(serviceName, service.Fault{Broken: 1000, BrokenAnswer: brokenAnswer(statusLine, line)})
 				a := f.sendOne(route, d)
 				Expect(a.status).To(BeElementOf(502, 504), "%s: all servers send malformed answers", route)
 				f.setFault(serviceName, service.Fault{})
--- a/test/entry/endless_client_test.go
+++ b/test/entry/endless_client_test.go
@@ -13,9 +13,9 @@
 	"github.com/sequoiapick/sequoiapick/internal/standin/service"
 )
 
-// sendUnread sends a request over a new connection, reads its answer at the pace, in bytes a second, and closes the
+// sendSlowClient sends a request over a new connection, reads its answer at the pace, in bytes a second or 0 for nothing, and closes the
 // connection after the time.
-func sendUnread(d *daemon, route string, pace int, duration time.Duration) {
+func sendSlowClient(d *daemon, route string, pace int, duration time.Duration) {
 	a := newAttempt(route, 1)
 	conn, err := net.Dial("tcp", d.frontAddress)
 	Expect(err).NotTo(HaveOccurred())
@@ -71,7 +71,7 @@
 					go func() {
 						defer GinkgoRecover()
 						defer clients.Done()
-						sendUnread(d, []string{"safe", "unsafe", "resumable", "once"}[n%4], []int{0, 64 << 10}[n/4%2], duration)
+						sendSlowClient(d, []string{"safe", "unsafe", "resumable", "once"}[n%4], []int{0, 64 << 10}[n/4%2], duration)
 					}()
 				}
 				clients.Wait()
--- a/test/entry/stop_test.go
+++ b/test/entry/stop_test.go
@@ -28,7 +28,7 @@
 	beginAt, completeAt time.Duration
 }
 
-// run opens the connection, closes ready, and sends the request after the signal.
+// run opens the connection, reports that to ready, and sends the request after the time of the signal was received.
 func (r *stopRequest) run(d *daemon, ready *sync.WaitGroup, signalled <-chan time.Time) {
 	conn, err := net.Dial("tcp", d.frontAddress)
 	ready.Done()
@@ -64,7 +64,7 @@
 	const slack = 200 * time.Millisecond
 	switch {
 	case r.status == 200 && r.complete:
-		if whole := map[string]string{"safe": service.Text(r.id), "unsafe": service.Text(r.id)}[r.route]; whole != "" && r.answer != whole || whole == "" && r.answer != completeStream(r.id) {
+		if r.answer != wholeAnswer(r.route, r.id) {
 			return "has another body"
 		}
 		return ""
@@ -82,6 +82,14 @@
 	}
 }
 
+// wholeAnswer returns the body of the answer to an attempt on a route.
+func wholeAnswer(route, id string) string {
+	if route == "safe" || route == "unsafe" {
+		return service.Text(id)
+	}
+	return completeStream(id)
+}
+
 var _ = Describe("an entry host", func() {
 	// grace is that of the fleet's settings.
 	const grace = 8 * time.Second
