feat(targetlimit): record, log and share the rate limits that targets name

What operators saw: no log line and no figure tells which limit a host knows, so that a limit that nobody reads can't be told from one that each host keeps by itself.

Change: the header is decoded, the notices of answers are kept in package targetlimit, and daemons tell each other. TargetLimited and LimitMalformed are logged; the state, sequoiactl state and SequoiapickLimitedTargets show limit, time, origin and share. Nothing is limited by it yet.

Measured: unit tests of the notices (out of order, another start, malformed values, bounded memory) pass.

--- a/cmd/sequoiactl/state.go
+++ b/cmd/sequoiactl/state.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// printStates prints a line for each host, then the services as seen by the leader. hosts are metrics
+// printStates prints a line for each host, then the services as seen by the leader and the limits that targets name. hosts are metrics
 // addresses. If the state of a host can't be read, its line shows the error.
 func printStates(hosts []string, timeout time.Duration) error {
 	var states []entry.State
@@ -53,9 +53,28 @@
 			printServices(w, s)
 		}
 	}
+	printLimits(w, states)
 	return w.Flush()
 }
 
+// printLimits prints a table of the rate limits that targets name, with a line for each host that knows one.
+func printLimits(w *tabwriter.Writer, states []entry.State) {
+	header := false
+	for _, s := range states {
+		for _, t := range s.Targets {
+			if t.Limit == nil {
+				continue
+			}
+			if !header {
+				fmt.Fprintln(w, "\nLIMITED TARGET\tSERVICE\tHOST\tPER SECOND\tSHARE PER SECOND\tSINCE\tNAMED\tFROM")
+				header = true
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%g\t%.2f\t%d ms ago\t%d ms ago\t%s\n", t.ID, t.Service, s.Host,
+				t.Limit.PerSecond, t.Limit.SharePerSecond, t.Limit.SinceMillis, t.Limit.NamedMillis, t.Limit.Source)
+		}
+	}
+}
+
 // readState reads the state from the metrics address of an entry host.
 func readState(address string, timeout time.Duration) (entry.State, error) {
 	var s entry.State
--- a/internal/cluster/mesh.go
+++ b/internal/cluster/mesh.go
@@ -290,6 +290,21 @@
 	return len(m.members) + 1
 }
 
+// Live returns the number of daemons that may be alive, this one included. A daemon to which this one opens no link counts
+// as alive.
+func (m *Mesh) Live() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	live := 1
+	for host := range m.members {
+		if p := m.peers[host]; p == nil || m.alive(p, now) {
+			live++
+		}
+	}
+	return live
+}
+
 // SilentDataCentres returns, for each data centre to whose members there are links, whether
 // none of these members is alive. The data centre of this daemon is never silent.
 func (m *Mesh) SilentDataCentres() map[string]bool {
--- a/internal/entry/cluster_handler.go
+++ b/internal/entry/cluster_handler.go
@@ -25,6 +25,8 @@
 		d.quarantine.receive(from, k.Quarantine)
 	case *clusterpb.Envelope_TargetLoads:
 		d.loads.receive(from, sentAfter, k.TargetLoads)
+	case *clusterpb.Envelope_TargetLimits:
+		d.limitTable.receive(k.TargetLimits)
 	case *clusterpb.Envelope_Configuration:
 		d.receiveConfiguration(from, sentAfter, k.Configuration.GetRow())
 	case *clusterpb.Envelope_Wanted:
@@ -66,6 +68,7 @@
 func (d *Daemon) LinkOpened(host string) {
 	d.scheduler.LinkOpened(host)
 	d.sendConfiguration(host)
+	d.limitTable.announce(host)
 	if d.settings.Contracts.Rollout {
 		d.rollouts.announce(host)
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -98,6 +98,7 @@
 	members      memberTable
 	quarantine   quarantineTable
 	loads        loadTable
+	limitTable   limitTable
 	rollouts     rolloutTable
 	versions     versionTable
 
@@ -218,11 +219,14 @@
 		EngineSucceeded: d.inventory.RecordSuccess,
 		TargetLeaving:   d.inventory.MarkLeaving,
 		Loads:           &d.loads.table,
+		Limits:          &d.limitTable.table,
+		LimitNoticed:    d.limitTable.notice,
 		MaxGap:          d.maxGap,
 	}
 	d.createRollouts()
 	d.scheduler.Init()
 	d.loads.daemon = d
+	d.limitTable.daemon, d.limitTable.table.Share = d, d.limitTable.share
 	d.forwarder = &forward.Forwarder{
 		Table:        d.routeTable.Load,
 		Inventory:    d.inventory,
@@ -234,6 +238,8 @@
 		Quarantine:   tracker,
 		Loads:        &d.loads.table,
 		LoadReported: d.loads.add,
+		Limits:       &d.limitTable.table,
+		LimitNoticed: d.limitTable.notice,
 		TargetMemory: d.targetMemory,
 		Rollouts:     d.rollouts.sides,
 		RetryBudget: &forward.RetryBudget{
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -96,6 +96,18 @@
 	// that this daemon may not know the order of a rollout to it.
 	Version  string
 	Withheld bool
+	// Limit is the rate limit that the target names, nil if it names none.
+	Limit *LimitState `json:",omitempty"`
+}
+
+// LimitState is the rate limit of a target as this daemon knows it, see targetlimit.Limit.
+type LimitState struct {
+	// PerSecond is the limit, SharePerSecond the part of it that this daemon uses, in requests per second.
+	PerSecond, SharePerSecond float64
+	// SinceMillis is the time since the limit was first named, NamedMillis that since it was last named.
+	SinceMillis, NamedMillis int64
+	// Source is the host that received the first answer with this rate.
+	Source string
 }
 
 // State returns the daemon's current state.
@@ -130,6 +142,7 @@
 			ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Address: t.Address,
 			Draining: t.Draining, Cold: t.Cold, Out: t.DataCentreOut, Cut: t.Unreachable, Suspect: t.Suspect, Replaced: t.Replaced, Unconfirmed: t.Unconfirmed, Version: t.Version, Withheld: t.Withheld,
 			PacePercent: int(math.Round(100 * pace)),
+			Limit:       d.limitTable.state(now, t),
 		})
 	}
 	return s
@@ -193,9 +206,12 @@
 	for _, t := range s.Tables {
 		ages[t.Name] = float64(t.AgeMillis) / 1000
 	}
-	targets, paces := map[string]float64{}, map[string]float64{}
+	targets, paces, limited := map[string]float64{}, map[string]float64{}, map[string]float64{}
 	for _, t := range s.Targets {
 		targets[t.state()]++
+		if t.Limit != nil {
+			limited[t.Service]++
+		}
 		if t.PacePercent > 0 {
 			paces[t.Service] = max(paces[t.Service], float64(t.PacePercent)/100)
 		}
@@ -225,6 +241,7 @@
 		{Name: "SequoiapickBeliefAgeSeconds", Description: "age of the copies of the platform's tables, by table", Attribute: "Table", Values: ages},
 		{Name: "SequoiapickTargets", Description: "targets by state", Attribute: "State", Values: targets},
 		{Name: "SequoiapickTargetPace", Description: "highest reported pace of the targets, 1 is usual, by service", Attribute: "Service", Values: paces},
+		{Name: "SequoiapickLimitedTargets", Description: "targets that name a rate limit, by service", Attribute: "Service", Values: limited},
 		{Name: "SequoiapickMembersAlive", Description: "other daemons that are alive", Values: single(alive)},
 		{Name: "SequoiapickLeads", Description: "1 on the leader, 0 on the others", Values: single(leads)},
 		{Name: "SequoiapickConfigurationVersion", Description: "version of the configuration in use", Values: single(float64(s.Version))},
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -78,6 +78,8 @@
 	TargetMalformed        = Event{402, "TargetMalformed", "a row of the targets or members table is malformed and is not used"}
 	TargetHeld             = Event{403, "TargetHeld", "a target wants no requests of this daemon for the given time"}
 	LoadMalformed          = Event{404, "LoadMalformed", "another daemon has relayed an impossible load of a target, which is not used"}
+	TargetLimited          = Event{405, "TargetLimited", "a target has named a rate limit, a new one, or none any more (0 requests per second); the source is the host that received the answer"}
+	LimitMalformed         = Event{406, "LimitMalformed", "a target has named a rate limit that is no positive decimal number and is not used"}
 	MembershipAdopted      = Event{500, "MembershipAdopted", "the daemon uses a new epoch of the membership"}
 	MembershipFrozen       = Event{501, "MembershipFrozen", "the membership can't be changed because the platform's table can't be reached"}
 	MemberSwept            = Event{502, "MemberSwept", "members were removed because their hosts are no longer listed"}
@@ -121,7 +123,7 @@
 		StageRouted, StageHeld, StageRefused, AttemptFailed, AnswerUnconfirmed, AttemptForwarded, AttemptHedged, LateAnswerDropped,
 		StageCallFailed, TargetDeclined, EngineAssigned, JobRejected, StageCallEnded, WorkHandedOver, WorkInherited,
 		PartSuspected, PartQuarantined, PartReleased,
-		TargetCold, TargetLeaving, TargetMalformed, TargetHeld, LoadMalformed,
+		TargetCold, TargetLeaving, TargetMalformed, TargetHeld, LoadMalformed, TargetLimited, LimitMalformed,
 		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected, LinkLost, LeaderChanged, MemberLearned,
 		DataCentreCut, DataCentreReached,
 		ConfigurationRaised, ConfigurationStale, DataCentreOut, DataCentreIn, TableRequested,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -35,6 +35,7 @@
 	"github.com/sequoiapick/sequoiapick/internal/metric"
 	"github.com/sequoiapick/sequoiapick/internal/quarantine"
 	"github.com/sequoiapick/sequoiapick/internal/scheduler"
+	"github.com/sequoiapick/sequoiapick/internal/targetlimit"
 	"github.com/sequoiapick/sequoiapick/internal/targetload"
 	"github.com/sequoiapick/sequoiapick/internal/targetmemory"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
@@ -64,6 +65,10 @@
 	// LoadReported is called with each report that comes with an answer to a plain request. It must not
 	// block, and may be nil.
 	LoadReported func(targetload.Report)
+	// Limits holds the rate limits that targets name, nil if none are heeded. LimitNoticed is called with what each
+	// answer says of them; it must not block, and is needed with Limits only.
+	Limits       *targetlimit.Table
+	LimitNoticed func(targetlimit.Notice)
 	// TargetMemory counts the bytes of plain requests that targets hold; nil counts none.
 	TargetMemory *targetmemory.Tracker
 	// Rollouts tells which versions of targets requests must go to; nil knows no rollouts.
--- a/internal/forward/notice.go
+++ b/internal/forward/notice.go
@@ -6,17 +6,19 @@
 	"github.com/sequoiapick/sequoiapick/internal/event"
 	"github.com/sequoiapick/sequoiapick/internal/inventory"
 	"github.com/sequoiapick/sequoiapick/internal/scheduler"
+	"github.com/sequoiapick/sequoiapick/internal/targetlimit"
 	"github.com/sequoiapick/sequoiapick/platform"
 )
 
-// recordNotices records what a target says of itself in an answer: that it leaves, or for how long it
-// wants no requests of this daemon. An answer that says that another target is at the address tells
-// nothing of this one.
-func (q *requestState) recordNotices(target inventory.Target, head platform.AnswerHead) {
+// recordNotices records what a target says of itself in the answer to a request that was sent at the given time: that
+// it leaves, for how long it wants no requests of this daemon, or how many it takes from all daemons. An answer that
+// says that another target is at the address tells nothing of this one.
+func (q *requestState) recordNotices(target inventory.Target, sentAt time.Time, head platform.AnswerHead) {
 	if head.Misdirected {
 		return
 	}
 	f := q.f
+	q.recordLimit(target, sentAt, head)
 	if head.Leaving && f.Inventory.MarkLeaving(target.ID, target.StartUnixMillis) {
 		f.Log.Emit(event.TargetLeaving, "Request", q.headers.AttemptID, "Target", target.ID, "Service", q.service, "Start", target.StartUnixMillis)
 	}
@@ -26,6 +28,22 @@
 	}
 }
 
+// recordLimit records the rate limit that a target names. Only an answer to a request that was run tells that there is
+// none any more.
+func (q *requestState) recordLimit(target inventory.Target, sentAt time.Time, head platform.AnswerHead) {
+	f := q.f
+	if f.Limits == nil {
+		return
+	}
+	now := f.Clock.Now()
+	if head.MalformedRateLimit != "" && f.Limits.RecordMalformed(now, target.ID) {
+		f.Log.Emit(event.LimitMalformed, "Target", target.ID, "Service", target.Service, "Value", head.MalformedRateLimit)
+	}
+	if head.RateLimit > 0 || head.Signed && head.MalformedRateLimit == "" {
+		f.LimitNoticed(targetlimit.Notice{Target: target.ID, Incarnation: target.StartUnixMillis, PerSecond: head.RateLimit, SentAt: sentAt, At: now})
+	}
+}
+
 // reportNotice passes to the scheduler what is known of an engine that it may have assigned for the
 // lack of it.
 func (f *Forwarder) reportNotice(engine string) {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -248,6 +248,7 @@
 			return nil, nil, err
 		}
 		q.openWitness(ctx, target)
+		sentAt := f.Clock.Now()
 		answer, err := conn.Do(ctx, q.buildRequest(target, options))
 		if err == nil {
 			q.sends++
@@ -255,7 +256,7 @@
 			if answer.Framing == exchange.Connection {
 				f.unframed.record(target.ID, q.answerStartedAt)
 			}
-			q.recordNotices(target, answer.Head)
+			q.recordNotices(target, sentAt, answer.Head)
 			f.Metrics.RecordAttempt(q.service, outcomeAnswered)
 			return answer, conn, nil
 		}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -1,5 +1,5 @@
-// Package pace limits the rate of requests to a cold target. A target is cold for some time
-// after its start and handles only a low request rate during it.
+// Package pace limits the rate of requests to a target. A cold target handles only a low request rate for some time
+// after its start, and a busy target may name the rate that it takes.
 //
 // # Usage
 //
@@ -37,7 +37,7 @@
 	}
 	limit := rate.Limit(perSecond)
 	if l.limiter == nil {
-		l.limiter = rate.NewLimiter(limit, max(int(burstSeconds*perSecond), 1))
+		l.limiter = rate.NewLimiter(limit, burst(perSecond))
 		if spent > 0 {
 			ago := time.Duration((1 - spent) / perSecond * float64(time.Second))
 			l.limiter.AllowN(now.Add(-ago), l.limiter.Burst())
@@ -46,17 +46,33 @@
 	}
 	if l.limiter.Limit() != limit {
 		l.limiter.SetLimitAt(now, limit)
+		l.limiter.SetBurstAt(now, burst(perSecond))
 	}
 }
 
+// maxBurst is the largest size of a burst. It lies above any number of requests that a daemon can send in burstSeconds.
+const maxBurst = 1 << 20
+
+// burst returns the size of a burst at a rate.
+func burst(perSecond float64) int { return max(int(min(burstSeconds*perSecond, maxBurst)), 1) }
+
 // Allows reports whether one more request may be sent now.
 func (l *Limiter) Allows(now time.Time) bool {
 	return l.limiter == nil || l.limiter.TokensAt(now) >= 1
 }
 
-// RecordSend counts a request as sent.
+// Wait returns the time until one more request may be sent, 0 if it may be sent now.
+func (l *Limiter) Wait(now time.Time) time.Duration {
+	if l.Allows(now) {
+		return 0
+	}
+	missing := 1 - l.limiter.TokensAt(now)
+	return time.Duration(missing / float64(l.limiter.Limit()) * float64(time.Second))
+}
+
+// RecordSend counts a request as sent. A request that wasn't allowed delays the following ones.
 func (l *Limiter) RecordSend(now time.Time) {
 	if l.limiter != nil {
-		l.limiter.AllowN(now, 1)
+		l.limiter.ReserveN(now, 1)
 	}
 }
--- a/internal/scheduler/call.go
+++ b/internal/scheduler/call.go
@@ -150,7 +150,7 @@
 		answerHead, answer, err = s.exchangeOnce(ctx, target.Address, class, head, body, exchange.Fresh)
 	}
 	if err == nil {
-		s.recordStageNotices(target, answerHead)
+		s.recordStageNotices(target, start, answerHead)
 	}
 	return answerHead, answer, err
 }
--- a/internal/scheduler/notice.go
+++ b/internal/scheduler/notice.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
 	"github.com/sequoiapick/sequoiapick/internal/dispatch"
 	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/targetlimit"
 	"github.com/sequoiapick/sequoiapick/internal/targetload"
 	"github.com/sequoiapick/sequoiapick/platform"
 )
@@ -46,9 +49,12 @@
 	}
 }
 
-// recordStageNotices records what a stage target says of itself in the answer to a call. It may be
-// called outside of the loop.
-func (s *Scheduler) recordStageNotices(t dispatch.Target, head platform.AnswerHead) {
+// recordStageNotices records what a stage target says of itself in the answer to a call that was sent at the given time.
+// It may be called outside of the loop.
+func (s *Scheduler) recordStageNotices(t dispatch.Target, sentAt time.Time, head platform.AnswerHead) {
+	if !head.Misdirected {
+		s.recordLimit(t, sentAt, head)
+	}
 	if !head.Misdirected && head.Load != nil {
 		s.Loads.Record(targetload.Report{
 			Target: t.ID, Incarnation: t.Incarnation, Service: t.Service, ObservedAt: s.Clock.Now(),
@@ -74,3 +80,18 @@
 		s.planner.HoldTarget(now, t.ID, t.Incarnation, head.RetryAfter)
 	})
 }
+
+// recordLimit records the rate limit that a stage target names. Only a call that was run tells that there is none any
+// more.
+func (s *Scheduler) recordLimit(t dispatch.Target, sentAt time.Time, head platform.AnswerHead) {
+	if s.Limits == nil {
+		return
+	}
+	now := s.Clock.Now()
+	if head.MalformedRateLimit != "" && s.Limits.RecordMalformed(now, t.ID) {
+		s.Log.Emit(event.LimitMalformed, "Target", t.ID, "Service", t.Service, "Value", head.MalformedRateLimit)
+	}
+	if head.RateLimit > 0 || head.Status == fasthttp.StatusOK && head.MalformedRateLimit == "" {
+		s.LimitNoticed(targetlimit.Notice{Target: t.ID, Incarnation: t.Incarnation, PerSecond: head.RateLimit, SentAt: sentAt, At: now})
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -45,6 +45,7 @@
 	"github.com/sequoiapick/sequoiapick/internal/metric"
 	"github.com/sequoiapick/sequoiapick/internal/placement"
 	"github.com/sequoiapick/sequoiapick/internal/quarantine"
+	"github.com/sequoiapick/sequoiapick/internal/targetlimit"
 	"github.com/sequoiapick/sequoiapick/internal/targetload"
 	"github.com/sequoiapick/sequoiapick/internal/targetmemory"
 	"github.com/sequoiapick/sequoiapick/pkg/service"
@@ -156,6 +157,10 @@
 	PartQuarantined, PartReleased func(quarantine.Part)
 	// Loads holds what targets report, nil if nothing is known; it is set before Init.
 	Loads *targetload.Table
+	// Limits holds the rate limits that targets name, nil if none are heeded; it is set before Init. LimitNoticed is
+	// called with what the answers of stage targets say of them; it must not block, and is needed with Limits only.
+	Limits       *targetlimit.Table
+	LimitNoticed func(targetlimit.Notice)
 	// MaxGap returns the objective for the pauses of a route's streams, 0 if there is none; it may be nil.
 	MaxGap func(route string) time.Duration
 	// Rollouts tells which versions of engines requests must go to; nil knows no rollouts.
