test(entry): show that servers get more requests than the limits that they name

What operators saw: engines that had named a limit of about 1 request a second got 12 to 14 in 4 s.

The bound is the rule's; the stand-in records which host sent each request, and when a host was first told of a limit.

--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -95,7 +95,7 @@
 	fault      Fault
 	running    int
 	journal    []Execution
-	arrivals   []time.Time
+	arrivals   []Arrival
 	violations []string
 	// storedHandles holds the handles of the results that this server stores; resultCount counts
 	// all that it ever computed.
@@ -103,6 +103,10 @@
 	resultCount   int
 	// leaving is the Server-Leaving header of all answers, empty for none.
 	leaving string
+	// limit is the Server-Limit header of all answers, empty for none; limitedAt is when it was first sent to each
+	// host, by IP.
+	limit     string
+	limitedAt map[string]time.Time
 	// untied holds the addresses of the callers' ends of connections on which no call that runs pieces may
 	// follow, since a copy of the last answer can't be told from the answer to that call.
 	untied map[string]bool
@@ -186,11 +190,27 @@
 	return append([]Execution(nil), s.journal...)
 }
 
-// Arrivals returns the arrival times of all requests, rejected ones included.
-func (s *Server) Arrivals() []time.Time {
+// Arrival is the arrival of a request, rejected ones included.
+type Arrival struct {
+	At time.Time
+	// Host is the IP of the host that sent it, Path its path.
+	Host, Path string
+}
+
+// Requests returns the arrivals of all requests, rejected ones included.
+func (s *Server) Requests() []Arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]time.Time(nil), s.arrivals...)
+	return append([]Arrival(nil), s.arrivals...)
+}
+
+// Arrivals returns the times of Requests.
+func (s *Server) Arrivals() []time.Time {
+	var times []time.Time
+	for _, r := range s.Requests() {
+		times = append(times, r.At)
+	}
+	return times
 }
 
 // Violations returns descriptions of the requests that broke the protocol, such as pieces with the
@@ -228,8 +248,12 @@
 }
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		host = r.RemoteAddr
+	}
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, time.Now())
+	s.arrivals = append(s.arrivals, Arrival{At: time.Now(), Host: host, Path: r.URL.Path})
 	if s.leaving != "" {
 		w.Header().Set("Server-Leaving", s.leaving)
 	}
@@ -239,6 +263,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.nameLimit(w, host)
 	switch r.URL.Path {
 	case "/v1/stage-run":
 		s.runStage(w, r)
