fix(scheduler): keep to the rate limits that targets name

Cause: no daemon read the limit.

Change: what a target says of its limit decides its rate. The leader, which chooses engines and calls stage targets for all daemons, counts every request, also those that free results, against the whole limit; if targets of a plain service name one, it chooses their targets too. Without a leader each daemon uses an equal share, and a leader that doesn't reach all uses that part of the limit. Requests wait in the order of their priority; what would wait beyond its deadline is rejected at once with the time at which the limit allows it. A send on a second connection to a limited target is left out.

Why it works: one daemon counts, so that the sum over the daemons is the limit, whatever their number; a leader starts with at most one burst, which the slack of the rule holds.

--- a/internal/dispatch/action.go
+++ b/internal/dispatch/action.go
@@ -142,6 +142,9 @@
 	// Quarantined means that the prompt has a part that crashes engines. The planner itself
 	// doesn't return it either.
 	Quarantined Reason = "Quarantined"
+	// Limited means that all engines name rate limits that the request would wait for beyond its deadline. The
+	// planner itself doesn't return it either.
+	Limited Reason = "Limited"
 )
 
 func (StartCall) isAction()        {}
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -185,7 +185,7 @@
 		open++
 		// From the step in which the target is free on, its capacity grows by its speed.
 		free := float64(t.freeAt(now).Sub(now))
-		speed := usableCapacityShare / max(t.slowness, 1)
+		speed := min(usableCapacityShare, t.limitedShare()) / max(t.slowness, 1)
 		if first := int(free / float64(forecastStep)); first < forecastSteps {
 			speeds[first] += speed
 			offsets[first] += speed * free
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -43,6 +43,7 @@
 import (
 	"time"
 
+	"github.com/sequoiapick/sequoiapick/internal/targetlimit"
 	"github.com/sequoiapick/sequoiapick/internal/targetload"
 )
 
@@ -96,6 +97,8 @@
 	Order QueueOrder
 	// Loads holds what targets report, nil if nothing is known.
 	Loads *targetload.Table
+	// Limits holds the rate limits that targets name, nil if none are heeded. It is set before any service.
+	Limits *targetlimit.Table
 	// Scarce turns on admission over the whole chain, fair shares of accounts and the spreading of
 	// Reject.RetryAfter; it needs ByValue. SetScarce changes it while there are jobs.
 	Scarce bool
--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -115,7 +115,7 @@
 	if t.heldUntil.After(at) {
 		at = t.heldUntil
 	}
-	return at
+	return t.allowedAt(now, at)
 }
 
 // mayRunAnywhere reports whether the task may run now outside of its preferred data centre. It may not
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -190,7 +190,7 @@
 func (pl *pool) freeTargets(now time.Time) []*targetState {
 	var free []*targetState
 	for _, t := range pl.targets {
-		if !t.Closed && len(t.running) < pl.batch.Slots && !now.Before(t.pausedUntil) && !now.Before(t.heldUntil) {
+		if !t.Closed && len(t.running) < pl.batch.Slots && !now.Before(t.pausedUntil) && !now.Before(t.heldUntil) && pl.limits.Allows(now, t.ID, t.Incarnation) {
 			free = append(free, t)
 		}
 	}
@@ -252,6 +252,7 @@
 	p.calls[c.id] = c
 	t.running = append(t.running, c)
 	t.usedBytes += c.bytes
+	pl.limits.RecordSend(now, t.ID, t.Incarnation)
 	p.actions = append(p.actions, StartCall{Call: c.id, Target: t.Target, Pieces: pieces, Started: now, Expected: c.expected, Bytes: c.bytes})
 	return true
 }
--- a/internal/dispatch/queue_order.go
+++ b/internal/dispatch/queue_order.go
@@ -207,7 +207,7 @@
 	targets := make([]simulatedTarget, 0, len(pl.targets))
 	for i, t := range pl.targets {
 		if !t.Closed {
-			targets = append(targets, simulatedTarget{free: t.freeAt(now).Sub(now), slowness: max(t.slowness, 1), index: i})
+			targets = append(targets, simulatedTarget{free: t.freeAt(now).Sub(now), slowness: max(t.slowness, 1) / t.limitedShare(), index: i})
 		}
 	}
 	for i := len(targets)/2 - 1; i >= 0; i-- {
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/sequoiapick/sequoiapick/internal/targetlimit"
 	"github.com/sequoiapick/sequoiapick/pkg/service"
 )
 
@@ -26,6 +27,7 @@
 type pool struct {
 	name    string
 	batch   service.Batch
+	limits  *targetlimit.Table
 	targets []*targetState
 	tasks   []*task
 	// typicalWait is the moving average of the queue wait of tasks that aren't deferred.
@@ -97,7 +99,7 @@
 func (p *Planner) pool(name string) *pool {
 	pl := p.poolByService[name]
 	if pl == nil {
-		pl = &pool{name: name, batch: service.Batch{Slots: 1, MaxPieces: 1}}
+		pl = &pool{name: name, limits: p.Limits, batch: service.Batch{Slots: 1, MaxPieces: 1}}
 		p.poolByService[name] = pl
 		p.pools = append(p.pools, pl)
 		slices.SortFunc(p.pools, func(a, b *pool) int { return strings.Compare(a.name, b.name) })
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -25,6 +25,7 @@
 	"github.com/sequoiapick/sequoiapick/internal/memory"
 	"github.com/sequoiapick/sequoiapick/internal/placement"
 	"github.com/sequoiapick/sequoiapick/internal/scheduler"
+	"github.com/sequoiapick/sequoiapick/internal/targetlimit"
 	"github.com/sequoiapick/sequoiapick/internal/targetmemory"
 	"github.com/sequoiapick/sequoiapick/pkg/route"
 	"github.com/sequoiapick/sequoiapick/pkg/service"
@@ -217,6 +218,8 @@
 	tracker      *targetmemory.Tracker
 	rollouts     *canary.Sides
 	stageTargets []dispatch.Target
+	// mesh replaces that of a daemon without others.
+	mesh scheduler.Mesh
 }
 
 // startForwarderOf is startForwarderTo with options that also returns the forwarder.
@@ -238,7 +241,13 @@
 		o.rollouts.Inventory = inv
 	}
 	pool := &exchange.Pool{Clock: clock}
-	s := &scheduler.Scheduler{Host: "a", Mesh: loneMesh{}, Pool: pool, Clock: clock, Rollouts: o.rollouts}
+	limits := &targetlimit.Table{}
+	noticed := func(n targetlimit.Notice) { limits.Record(n) }
+	mesh := scheduler.Mesh(loneMesh{})
+	if o.mesh != nil {
+		mesh = o.mesh
+	}
+	s := &scheduler.Scheduler{Host: "a", Mesh: mesh, Pool: pool, Clock: clock, Rollouts: o.rollouts, Limits: limits, LimitNoticed: noticed}
 	s.Init()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -253,6 +262,8 @@
 		Clock:        clock,
 		TargetMemory: o.tracker,
 		Rollouts:     o.rollouts,
+		Limits:       limits,
+		LimitNoticed: noticed,
 		RetryBudget:  &forward.RetryBudget{Clock: clock, Ratio: 1, Slack: 100, Window: 10 * time.Second, Daemons: func() int { return 1 }},
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -84,7 +84,7 @@
 
 // loads returns the load of the targets that run plain requests.
 func (f *Forwarder) loads() *targetLoads {
-	f.loadOnce.Do(func() { f.load.reports = f.Loads })
+	f.loadOnce.Do(func() { f.load.reports, f.load.limits = f.Loads, f.Limits })
 	return &f.load
 }
 
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -160,6 +160,7 @@
 // queryIdentity asks the target at the path who it is, and releases the connection. Its error is a SendError,
 // or of kind Unavailable.
 func (f *Forwarder) queryIdentity(ctx context.Context, conn *exchange.Conn, target inventory.Target, path string) (platform.Identity, error) {
+	f.Limits.RecordSend(f.Clock.Now(), target.ID, target.StartUnixMillis)
 	answer, err := conn.Do(ctx, exchange.Request{Head: platform.AppendIdentityQuery(nil, path, target.ID, target.Address), SelfDelimiting: true})
 	if err != nil {
 		f.Pool.Discard(conn)
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -8,6 +8,7 @@
 
 	"github.com/sequoiapick/sequoiapick/internal/inventory"
 	"github.com/sequoiapick/sequoiapick/internal/pace"
+	"github.com/sequoiapick/sequoiapick/internal/targetlimit"
 	"github.com/sequoiapick/sequoiapick/internal/targetload"
 	"github.com/sequoiapick/sequoiapick/platform"
 )
@@ -33,6 +34,8 @@
 type targetLoads struct {
 	// reports is set by table if it is nil.
 	reports *targetload.Table
+	// limits are the rate limits that targets name, nil if none are heeded.
+	limits *targetlimit.Table
 
 	mu      sync.Mutex
 	targets map[string]*targetLoad
@@ -129,13 +132,14 @@
 	// coldShare is the rate at which this daemon may send to a cold target, in requests per
 	// second; 0 means no bound.
 	coldShare float64
+	// deadline is that of the request; a rate limit that a target names isn't waited for beyond it.
+	deadline time.Time
 	// fits reports whether a target has memory for the request; nil means that all have.
 	fits func(target string) bool
 }
 
 // choose returns the usable target with the lowest cost and counts a send to it. If none is
-// found, rateLimited reports that a cold target will accept a request as soon as its rate
-// limit allows.
+// found, rateLimited reports that a target will accept a request as soon as its rate limit allows.
 func (l *targetLoads) choose(now time.Time, s selection) (best inventory.Target, found, rateLimited bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -156,6 +160,10 @@
 			rateLimited = true
 			continue
 		}
+		if wait, allowed := l.limits.Wait(now, t.ID, t.StartUnixMillis); !allowed || wait > 0 {
+			rateLimited = rateLimited || allowed && now.Add(wait).Before(s.deadline)
+			continue
+		}
 		// The random part distributes the requests among targets of nearly the same cost.
 		cost := l.cost(now, t, s.dataCentre) + rand.Float64()*0.1
 		if !found || cost < lowest {
@@ -168,6 +176,7 @@
 	}
 	if found {
 		l.get(best.ID).coldLimiter.RecordSend(now)
+		l.limits.RecordSend(now, best.ID, best.StartUnixMillis)
 	}
 	return best, found, rateLimited
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -28,12 +28,27 @@
 // to one target after the other until one answers.
 func (q *requestState) answerPlain(ctx context.Context) {
 	last, retryAfter := problem.New(problem.Unavailable, "no usable target"), busyRetryAfter
+	limited := limitedChoice{request: q}
+	defer limited.close()
 	for !q.isOver(ctx) {
 		if q.rejectedByStop() {
 			last, retryAfter = errStopping, stopRetryAfter
 			break
 		}
-		target, ok, rateLimited := q.choose()
+		var target inventory.Target
+		var ok, rateLimited bool
+		if limited.applies() {
+			target, ok = limited.next(ctx)
+		}
+		if limited.rejection != nil {
+			break
+		}
+		if q.isOver(ctx) {
+			continue
+		}
+		if !ok {
+			target, ok, rateLimited = q.choose()
+		}
 		if rateLimited && !ok {
 			q.f.sleep(ctx, coldPollInterval)
 			continue
@@ -60,6 +75,7 @@
 		done, err := q.sendPlain(ctx, target)
 		attempt.end(ctx, err, time.Time{})
 		if done {
+			limited.answered()
 			return
 		}
 		last = err
@@ -73,6 +89,12 @@
 	if wait, allHeld := firstRelease(q.f.Clock.Now(), q.f.Inventory.Targets(q.service)); allHeld {
 		retryAfter = wait
 	}
+	if wait, allLimited := q.limitWait(); allLimited {
+		retryAfter = max(wait, busyRetryAfter)
+	}
+	if limited.rejection != nil {
+		last, retryAfter = limited.rejection, limited.retryAfter
+	}
 	q.failUnanswered(ctx, last, retryAfter)
 }
 
@@ -101,6 +123,7 @@
 func (q *requestState) selection() selection {
 	return selection{
 		fits:       q.fits,
+		deadline:   q.deadline,
 		dataCentre: q.f.DataCentre,
 		tried:      q.tried,
 		coldShare:  q.table.Services[q.service].ColdPerSecond / float64(max(q.f.RetryBudget.Daemons(), 1)),
--- a/internal/forward/rollout.go
+++ b/internal/forward/rollout.go
@@ -44,7 +44,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, t := range s.targets {
-		if t.Usable() && t.HeldUntil.IsZero() && !s.tried[t.ID] && (s.fits == nil || s.fits(t.ID)) && (!t.Cold || l.get(t.ID).coldLimiter.Allows(now)) {
+		if t.Usable() && t.HeldUntil.IsZero() && !s.tried[t.ID] && (s.fits == nil || s.fits(t.ID)) && (!t.Cold || l.get(t.ID).coldLimiter.Allows(now)) && l.limits.Allows(now, t.ID, t.StartUnixMillis) {
 			return true
 		}
 	}
@@ -64,8 +64,11 @@
 }
 
 // mayResend reports whether the request may be sent again over another connection to the target, which may
-// have received it. In Canary that takes a grant.
+// have received it. A rate limit that the target names counts both. In Canary it takes a grant.
 func (q *requestState) mayResend(target inventory.Target) bool {
+	if _, limited := q.f.Limits.Limit(target.ID, target.StartUnixMillis); limited {
+		return false
+	}
 	r, ok := q.f.Rollouts.Rollout(q.service)
 	if !ok || r.Phase != rollout.Canary || target.Version != r.To {
 		return true
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -31,7 +31,7 @@
 		list = append(list, Candidate{
 			Engine: e.ID, DataCentre: e.DataCentre, Cost: c.at(e), CachedTokens: e.cache.cachedTokens(c.keys, r.Parts), UnreadTokens: e.unreadSum,
 			RemoteBytes: c.inputBytes - r.InputBytes[e.DataCentre], Running: len(e.running), Cold: e.Cold, Suspect: e.Suspect,
-			Accepts: s.accepts(now, e, r) && e.coldLimiter.Allows(now),
+			Accepts: s.accepts(now, e, r) && s.allowsRate(now, e),
 		})
 	}
 	slices.SortStableFunc(list, func(a, b Candidate) int {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/pace"
+	"github.com/sequoiapick/sequoiapick/internal/targetlimit"
 	"github.com/sequoiapick/sequoiapick/internal/targetload"
 	"github.com/sequoiapick/sequoiapick/internal/targetmemory"
 	"github.com/sequoiapick/sequoiapick/pkg/service"
@@ -131,6 +132,8 @@
 	// CacheLifetime is the time after its last use for which a part counts as cached by some
 	// engine. New sets 10 s.
 	CacheLifetime time.Duration
+	// Limits holds the rate limits that engines name, nil if none are heeded.
+	Limits *targetlimit.Table
 	// Memory counts the tokens that engines hold for requests; nil counts none.
 	Memory *targetmemory.Tracker
 }
@@ -217,7 +220,7 @@
 }
 
 // Choose returns the engine with the lowest cost and records that the request is sent there.
-// It returns false if no engine accepts the request, or the rate limit of cold engines holds it.
+// It returns false if no engine accepts the request, or the rate limits of engines hold it.
 func (s *Selector) Choose(now time.Time, r Request) (Engine, bool) {
 	s.removeRequest(r.ID)
 	cheapest := s.cheapest(now, r)
@@ -225,28 +228,16 @@
 		return Engine{}, false
 	}
 	s.record(now, r, cheapest)
-	cheapest.coldLimiter.RecordSend(now)
+	s.recordSend(now, cheapest)
 	return cheapest.Engine, true
 }
 
-// HeldByColdRate reports whether an engine would accept the request if its rate limit, which
-// applies while it is cold, allowed it. After Choose has returned false, the request can then be
-// sent later.
-func (s *Selector) HeldByColdRate(now time.Time, r Request) bool {
-	for _, e := range s.byService[r.Service] {
-		if s.accepts(now, e, r) && !e.coldLimiter.Allows(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// accepts reports whether the request may be sent to the engine, apart from its rate limit.
+// accepts reports whether the request may be sent to the engine, apart from its rate limits.
 func (s *Selector) accepts(now time.Time, e *engine, r Request) bool {
 	return e.serves(r) && !now.Before(s.holds.until(r.Host, e)) && s.Memory.Fits(now, e.Service, e.ID, heldTokens(r))
 }
 
-// serves reports whether the request may be sent to the engine, apart from its rate limit and holds.
+// serves reports whether the request may be sent to the engine, apart from its rate limits and holds.
 func (e *engine) serves(r Request) bool {
 	return e.Service == r.Service && !e.Closed && !r.Exclude[e.ID] && r.Versions.allow(e.Engine)
 }
@@ -300,7 +291,7 @@
 	var lowest float64
 	c := s.costOf(now, r)
 	for _, e := range s.byService[r.Service] {
-		if !s.accepts(now, e, r) || !e.coldLimiter.Allows(now) {
+		if !s.accepts(now, e, r) || !s.allowsRate(now, e) {
 			continue
 		}
 		cost := c.at(e)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -71,7 +71,7 @@
 	if e, ok := s.Choose(start, r); ok {
 		t.Errorf("chose %q, want none", e.ID)
 	}
-	if s.HeldByColdRate(start, r) {
+	if s.HeldByRate(start, r) {
 		t.Error("the request is held by a cold rate, but no engine accepts it")
 	}
 }
@@ -87,7 +87,7 @@
 		s.Remove(r.ID)
 		if ok {
 			sent[e.ID] = append(sent[e.ID], now)
-		} else if !s.HeldByColdRate(now, r) {
+		} else if !s.HeldByRate(now, r) {
 			t.Fatal("no engine chosen, and none is held by its cold rate")
 		}
 	}
--- a/internal/scheduler/call.go
+++ b/internal/scheduler/call.go
@@ -141,12 +141,14 @@
 
 // callTarget sends one request to a target and returns the head and the body of its answer. A
 // request that fails within staleConnTimeout on a pooled connection is sent once more on a new
-// one, since stage targets may run a piece twice. A request that fails later was being worked
-// on and isn't repeated: its inputs may be freed by now, and its job may no longer be wanted.
+// one, since stage targets may run a piece twice, unless the target names a rate limit, which counts both. A
+// request that fails later was being worked on and isn't repeated: its inputs may be freed by now, and its job may no
+// longer be wanted.
 func (s *Scheduler) callTarget(ctx context.Context, target dispatch.Target, class callClass, head, body []byte) (platform.AnswerHead, []byte, error) {
 	start := s.Clock.Now()
 	answerHead, answer, err := s.exchangeOnce(ctx, target.Address, class, head, body, exchange.Pooled)
-	if err != nil && exchange.Reused(err) && ctx.Err() == nil && s.Clock.Since(start) < staleConnTimeout {
+	_, limited := s.Limits.Limit(target.ID, target.Incarnation)
+	if err != nil && exchange.Reused(err) && ctx.Err() == nil && s.Clock.Since(start) < staleConnTimeout && !limited {
 		answerHead, answer, err = s.exchangeOnce(ctx, target.Address, class, head, body, exchange.Fresh)
 	}
 	if err == nil {
@@ -209,11 +211,11 @@
 	f.handles = append(f.handles, a.Handles...)
 }
 
-// flushFrees sends the pending frees that are older than freeDelay, unless their target wants no calls
+// flushFrees sends the pending frees that are older than freeDelay, unless their target wants no requests
 // yet.
 func (s *Scheduler) flushFrees(now time.Time) {
 	for _, f := range s.pendingFrees {
-		if now.Sub(f.since) >= freeDelay && !s.planner.Held(now, f.target.ID) {
+		if now.Sub(f.since) >= freeDelay && !s.planner.Held(now, f.target.ID) && s.Limits.Allows(now, f.target.ID, f.target.Incarnation) {
 			s.sendFree(f)
 		}
 	}
@@ -233,6 +235,7 @@
 func (s *Scheduler) runFree(ctx context.Context, f *pendingFree) {
 	head, body, err := platform.AppendStageFree(nil, f.target.ID, f.target.Address, f.handles)
 	if err == nil {
+		s.Limits.RecordSend(s.Clock.Now(), f.target.ID, f.target.Incarnation)
 		_, _, err = s.callTarget(ctx, f.target, freeCalls, head, body)
 	}
 	if err != nil {
--- a/internal/scheduler/encode.go
+++ b/internal/scheduler/encode.go
@@ -88,6 +88,7 @@
 		Worth:          j.Value,
 		Account:        j.Account,
 		Route:          j.Route,
+		Plain:          j.Plain,
 		Generation: &clusterpb.Generation{
 			Service:      j.Generation.Service,
 			Model:        j.Generation.Model,
@@ -128,6 +129,7 @@
 		Value:        m.GetWorth(),
 		Account:      m.GetAccount(),
 		Route:        m.GetRoute(),
+		Plain:        m.GetPlain(),
 		Generation: placement.Request{
 			ID:           m.GetID(),
 			Service:      g.GetService(),
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -28,10 +28,7 @@
 package scheduler
 
 import (
-	"cmp"
 	"context"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -109,6 +106,8 @@
 	// AnswerStarted is set if that engine has started to answer.
 	Assigned      string
 	AnswerStarted bool
+	// Plain is set for a plain request, which needs a target only.
+	Plain bool
 }
 
 // Update is the answer to a submission: Assigned or Rejected.
@@ -182,6 +181,8 @@
 	planner  *dispatch.Planner
 	selector *placement.Selector
 	requests map[string]*request
+	// held are the requests that rate limits hold, and some that aren't held any more.
+	held map[string]*request
 	// handedOver maps the requests that were handed over, while calls for them run, to their
 	// origins.
 	handedOver   map[string]string
@@ -207,8 +208,10 @@
 	expiresAt time.Time
 	// assigned is the update with the engine that was chosen last, nil if none.
 	assigned *Assigned
-	// heldByColdRate is set while only the rate limit of cold engines prevents an assignment.
-	heldByColdRate bool
+	// heldByRate is set while only the rate limits of engines prevent an assignment.
+	heldByRate bool
+	// priority is that of the job.
+	priority int
 }
 
 // Init prepares the scheduler. It must be called before any other method.
@@ -219,11 +222,12 @@
 	s.scarce.Store(s.ScarcePolicy)
 	s.selector = placement.New()
 	s.planner.Loads, s.selector.Loads = s.Loads, s.Loads
+	s.planner.Limits, s.selector.Limits = s.Limits, s.Limits
 	if s.CacheLifetime > 0 {
 		s.selector.CacheLifetime = s.CacheLifetime
 	}
 	s.selector.Memory = s.EngineMemory
-	s.requests = map[string]*request{}
+	s.requests, s.held = map[string]*request{}, map[string]*request{}
 	s.handedOver = map[string]string{}
 	s.tickets = map[string]*Ticket{}
 	s.pendingFrees = map[string]*pendingFree{}
@@ -280,11 +284,11 @@
 		s.resubmit(r, job)
 		return
 	}
-	r := &request{origin: origin, generation: job.Generation, expiresAt: job.Deadline.Add(retentionAfterDeadline)}
+	r := &request{origin: origin, generation: job.Generation, priority: job.Priority, expiresAt: job.Deadline.Add(retentionAfterDeadline)}
 	r.generation.Host = origin
 	s.setObjectives(r, job)
 	s.requests[job.ID] = r
-	if s.rejectQuarantined(job.ID, r) {
+	if s.rejectQuarantined(job.ID, r) || job.Assigned == "" && s.rejectHopeless(now, job.ID, r) {
 		return
 	}
 	s.recordRequest(r)
@@ -295,7 +299,7 @@
 	for _, stage := range job.Stages {
 		pieces += stage.Pieces
 	}
-	if pieces == 0 && (job.Assigned != "" || !s.planner.Scarce) {
+	if pieces == 0 && (job.Assigned != "" || job.Plain || !s.planner.Scarce) {
 		if job.Assigned == "" {
 			s.assign(job.ID, r)
 		}
@@ -328,17 +332,21 @@
 }
 
 // assign chooses the engine and sends it to the origin. Without a usable engine it rejects the
-// request, unless a cold engine can accept it later.
+// request, unless an engine can accept it later.
 func (s *Scheduler) assign(id string, r *request) {
 	if s.rejectQuarantined(id, r) {
 		return
 	}
 	now := s.Clock.Now()
+	s.assignBefore(id, r)
 	engine, ok := s.chooseEngine(now, r)
-	r.heldByColdRate = !ok && s.selector.HeldByColdRate(now, r.generation)
-	if r.heldByColdRate {
-		return // assignHeld assigns it later
+	if !ok && s.selector.HeldByRate(now, r.generation) {
+		if !s.rejectHopeless(now, id, r) {
+			s.hold(id, r) // assignHeld assigns it later
+		}
+		return
 	}
+	r.heldByRate = false
 	if !ok {
 		retryAfter := noTargetRetryAfter
 		if wait, held := s.selector.HeldFor(now, r.generation); held {
@@ -355,23 +363,6 @@
 	s.sendUpdate(r.origin, id, *r.assigned)
 }
 
-// assignHeld retries the requests that the rate limit of cold engines held back, earliest
-// deadline first.
-func (s *Scheduler) assignHeld() {
-	var ids []string
-	for id, r := range s.requests {
-		if r.heldByColdRate {
-			ids = append(ids, id)
-		}
-	}
-	slices.SortFunc(ids, func(a, b string) int {
-		return cmp.Or(s.requests[a].expiresAt.Compare(s.requests[b].expiresAt), strings.Compare(a, b))
-	})
-	for _, id := range ids {
-		s.assign(id, s.requests[id])
-	}
-}
-
 // noTargetRetryAfter is the time after which the client may retry a request for which no
 // engine was usable.
 const noTargetRetryAfter = 500 * time.Millisecond
@@ -399,7 +390,7 @@
 		s.selector.RecordEngineFailure(s.Clock.Now(), f.Target)
 	}
 	s.selector.Remove(id)
-	r.assigned, r.heldByColdRate = nil, false
+	r.assigned, r.heldByRate = nil, false
 	if r.generation.Exclude == nil {
 		r.generation.Exclude = map[string]bool{}
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiapick/sequoiapick/internal/placement"
 	"github.com/sequoiapick/sequoiapick/internal/scheduler"
 	standin "github.com/sequoiapick/sequoiapick/internal/standin/service"
+	"github.com/sequoiapick/sequoiapick/internal/targetlimit"
 	"github.com/sequoiapick/sequoiapick/internal/targetload"
 	"github.com/sequoiapick/sequoiapick/pkg/service"
 )
@@ -119,7 +120,7 @@
 	services := map[string]service.Service{"first": {Batch: batch}, "second": {Batch: batch}, "engine": {Engine: &service.Engine{Slots: 4}}}
 	engines := []placement.Engine{{ID: "e", Service: "engine", Address: "127.0.0.1:9", DataCentre: "x"}}
 	for _, host := range []string{"a", "b", "c"} {
-		s := &scheduler.Scheduler{Host: host, Mesh: node{n, host}, Pool: &exchange.Pool{Clock: clockwork.NewRealClock()}, Clock: clockwork.NewRealClock(), Loads: &targetload.Table{}}
+		s := &scheduler.Scheduler{Host: host, Mesh: node{n, host}, Pool: &exchange.Pool{Clock: clockwork.NewRealClock()}, Clock: clockwork.NewRealClock(), Loads: &targetload.Table{}, Limits: &targetlimit.Table{}, LimitNoticed: func(targetlimit.Notice) {}}
 		s.Init()
 		n.schedulers[host], n.incarnations[host] = s, host+"1"
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/targetlimit/targetlimit.go
+++ b/internal/targetlimit/targetlimit.go
@@ -209,6 +209,16 @@
 	return Limit{}, false
 }
 
+// Empty reports whether no limit is known.
+func (t *Table) Empty() bool {
+	if t == nil {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.targets) == 0
+}
+
 // Limits returns the limits in force, sorted by target.
 func (t *Table) Limits() []Limit {
 	if t == nil {
