feat(quarantine): log the fingerprint of requests whose attempts failed

What operators saw: when a target ends, all requests at it lose their answers, and no log line tells which of them are the same as those that lost their answers before.

Change: AttemptFailed has the fingerprint of account, method, host, path and body.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -244,7 +244,8 @@
 // connection could be opened, Lost if no answer was received, NotRun if the target rejected the
 // request, Truncated if a plain answer was incomplete, and Broken if a stream was.
 func (q *requestState) recordFailure(target, outcome string, keysAndValues ...any) {
-	fields := []any{"Request", q.headers.AttemptID, "Target", target, "Outcome", outcome, "Send", q.sends, "Millis", q.f.Clock.Since(q.request.Arrived).Milliseconds()}
+	fields := []any{"Request", q.headers.AttemptID, "Target", target, "Outcome", outcome, "Send", q.sends, "Millis", q.f.Clock.Since(q.request.Arrived).Milliseconds(),
+		"Fingerprint", q.fingerprint().String()}
 	q.f.Log.Emit(event.AttemptFailed, append(fields, keysAndValues...)...)
 	q.f.Metrics.RecordAttempt(q.service, outcome)
 }
