--- a/internal/standin/service/fault.go
+++ b/internal/standin/service/fault.go
@@ -62,7 +62,7 @@
 	return true
 }
 
-// crashTime is how long an engine is down after a request with its Profile.FatalPart.
+// crashTime is how long a server is down after a request with its Profile.FatalPart or its Profile.FatalQuery.
 const crashTime = time.Second
 
 // crash closes the server and its connections, and starts it again after crashTime.
@@ -77,7 +77,7 @@
 	time.AfterFunc(crashTime, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.crashed = false
+		s.crashed, s.bornAt = false, time.Now()
 		if s.stopped {
 			return
 		}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -57,33 +57,12 @@
 	// FatalPart is the ID of a part of prompts; an engine crashes when it begins to answer a request
 	// with it. It closes all connections, and accepts none for crashTime. Empty means no part.
 	FatalPart string
+	// FatalQuery is the query of the requests that crash the stand-in when it begins to run them; empty means none.
+	FatalQuery string
 	// Flaw is what is wrong with the version that the stand-in runs.
 	Flaw Flaw
 }
 
-// Execution is the journal entry of one request. Calls to stage targets have none.
-type Execution struct {
-	// AttemptID is the X-Attempt-Id header.
-	AttemptID string
-	Method    string
-	// URI is the path and the query.
-	URI string
-	// Body is the Hash of the body.
-	Body string
-	// Account is the X-Tenant header.
-	Account string
-	// Key is the Authorization header.
-	Key string
-	// Deadline is the X-Deadline-Ms header in milliseconds; 0 if it isn't a number.
-	Deadline int
-	// Parts is the X-Prompt-Prefix header.
-	Parts string
-	// At is the time at which the request was admitted.
-	At time.Time
-	// Flawed is set if the Flaw of the profile applied.
-	Flawed bool
-}
-
 // Server is one stand-in. Set ID and Profile before Start.
 type Server struct {
 	// ID is the instance ID. A request for another ID (X-Target-Instance header) is answered with
@@ -115,6 +94,8 @@
 	address        string
 	http           *http.Server
 	startedAt      time.Time
+	// bornAt is when the server started, or started again after a crash.
+	bornAt time.Time
 	// crashed is set while the server is down after a crash, stopped once Stop was called.
 	crashed, stopped bool
 }
@@ -147,7 +128,7 @@
 	if err != nil {
 		return "", err
 	}
-	s.address, s.startedAt = listener.Addr().String(), time.Now()
+	s.address, s.startedAt, s.bornAt = listener.Addr().String(), time.Now(), time.Now()
 	s.storedHandles = map[string]bool{}
 	s.untied = map[string]bool{}
 	s.serve(listener)
@@ -161,6 +142,13 @@
 	go func() { _ = server.Serve(listener) }()
 }
 
+// BornAt returns when the server started, or started again after a crash.
+func (s *Server) BornAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bornAt
+}
+
 // Stop closes the server and its connections.
 func (s *Server) Stop() {
 	s.mu.Lock()
@@ -183,36 +171,6 @@
 	s.leaving = value
 }
 
-// Journal returns the requests that were run, in order.
-func (s *Server) Journal() []Execution {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]Execution(nil), s.journal...)
-}
-
-// Arrival is the arrival of a request, rejected ones included.
-type Arrival struct {
-	At time.Time
-	// Host is the IP of the host that sent it, Path its path.
-	Host, Path string
-}
-
-// Requests returns the arrivals of all requests, rejected ones included.
-func (s *Server) Requests() []Arrival {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]Arrival(nil), s.arrivals...)
-}
-
-// Arrivals returns the times of Requests.
-func (s *Server) Arrivals() []time.Time {
-	var times []time.Time
-	for _, r := range s.Requests() {
-		times = append(times, r.At)
-	}
-	return times
-}
-
 // Violations returns descriptions of the requests that broke the protocol, such as pieces with the
 // inputs of another request.
 func (s *Server) Violations() []string {
@@ -248,10 +206,7 @@
 }
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		host = r.RemoteAddr
-	}
+	host := senderOf(r)
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, Arrival{At: time.Now(), Host: host, Path: r.URL.Path})
 	if s.leaving != "" {
@@ -327,6 +282,10 @@
 	case <-r.Context().Done():
 		return
 	}
+	if s.Profile.FatalQuery != "" && r.URL.RawQuery == s.Profile.FatalQuery {
+		s.crash()
+		return
+	}
 	switch {
 	case flawed && s.Profile.Flaw.Slow == 0:
 		w.Header().Set("X-Response-Signature", s.ID+"."+attempt)
@@ -352,25 +311,6 @@
 	}
 }
 
-// recordExecution adds a request to the journal. The caller holds the lock.
-func (s *Server) recordExecution(r *http.Request, body []byte) {
-	deadline, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
-	if err != nil {
-		deadline = 0 // no valid request has this value
-	}
-	s.journal = append(s.journal, Execution{
-		AttemptID: r.Header.Get("X-Attempt-Id"),
-		Method:    r.Method,
-		URI:       r.RequestURI,
-		Body:      Hash(body),
-		Account:   r.Header.Get("X-Tenant"),
-		Key:       r.Header.Get("Authorization"),
-		Deadline:  deadline,
-		Parts:     r.Header.Get("X-Prompt-Prefix"),
-		At:        time.Now(),
-	})
-}
-
 // setRetryAfter sets the Retry-After header unless the value is empty.
 func setRetryAfter(w http.ResponseWriter, value string) {
 	if value != "" {
--- a/test/entry/fleet_test.go
+++ b/test/entry/fleet_test.go
@@ -69,8 +69,6 @@
 	version     string
 	// state is ready or draining.
 	state string
-	// startedMillis is the start of the server in Unix milliseconds.
-	startedMillis int64
 	// seq is the number of the last report.
 	seq int
 	// silent says that the server sends no more reports.
@@ -173,7 +171,7 @@
 
 // addVersion is addServer for a server that runs a version.
 func (f *fleet) addVersion(version, id, serviceName, dataCentre string, profile service.Profile) *server {
-	s := &server{Server: &service.Server{ID: "i-" + id, Profile: profile}, serviceName: serviceName, dataCentre: dataCentre, version: version, state: "ready", startedMillis: time.Now().UnixMilli()}
+	s := &server{Server: &service.Server{ID: "i-" + id, Profile: profile}, serviceName: serviceName, dataCentre: dataCentre, version: version, state: "ready"}
 	address, err := s.Start("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(s.Stop)
@@ -190,7 +188,7 @@
 	s.seq++
 	f.putRow("servers", s.ID, map[string]any{
 		"service": s.serviceName, "address": s.address, "zone": s.dataCentre, "version": s.version, "slots": 64, "state": s.state,
-		"coldRemainingMs": 0, "seq": s.seq, "born": s.startedMillis,
+		"coldRemainingMs": 0, "seq": s.seq, "born": s.BornAt().UnixMilli(),
 	})
 }
 
--- a/test/entry/load_test.go
+++ b/test/entry/load_test.go
@@ -21,6 +21,8 @@
 	id string
 	// route is the name of the route.
 	route string
+	// query is that of the URI, by default the ID.
+	query string
 	body  []byte
 	// key is the API key, and account the tenant that it belongs to.
 	key     string
@@ -43,8 +45,10 @@
 // newAttempt returns an attempt that hasn't been sent yet. The number n decides its
 // account and the length of its body.
 func newAttempt(route string, n int) *attempt {
+	id := fmt.Sprintf("%08x%08x", rand.Uint32(), n)
 	a := &attempt{
-		id:       fmt.Sprintf("%08x%08x", rand.Uint32(), n),
+		id:       id,
+		query:    "q=" + id,
 		route:    route,
 		key:      "k1",
 		account:  "bozi",
@@ -65,7 +69,7 @@
 	defer func() { a.endedAt = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, a.deadline)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.frontAddress+"/"+a.route+"/2f?q="+a.id, bytes.NewReader(a.body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.frontAddress+"/"+a.route+"/2f?"+a.query, bytes.NewReader(a.body))
 	Expect(err).NotTo(HaveOccurred())
 	r.Host = "h.example"
 	r.Header.Set("X-Attempt-Id", a.id)
@@ -216,7 +220,7 @@
 				continue
 			}
 			runs[e.AttemptID]++
-			if e.Body != service.Hash(a.body) || e.URI != "/"+a.route+"/2f?q="+a.id {
+			if e.Body != service.Hash(a.body) || e.URI != "/"+a.route+"/2f?"+a.query {
 				addViolation("UNASKED: %s ran %s %s with another body or path", s.ID, a.route, a.id)
 			}
 			if e.Account != a.account || e.Key != "" {
