fix(quarantine): reject requests that have crashed three targets

Cause: a crash counted against the target only. Parts of prompts were learned from streams, whose evidence waits for answers of other requests; plain requests name no parts, and a service with three targets has none left that answers.

Change: requests with the same account, method, host, path and body share a fingerprint. An attempt that is broken off, and whose target's port refuses connections, is evidence against it; three crashes of different starts without an answer quarantine it at all daemons, over the links and through the store, by the mechanism that parts have. The stand-in of a daemon's start in the tests of entry runs the new task.

Why it works: the others that a crash breaks off differ in their fingerprints or are answered elsewhere, and no answer ever clears the one that causes it.

--- a/internal/entry/cluster_handler.go
+++ b/internal/entry/cluster_handler.go
@@ -23,6 +23,10 @@
 		}
 	case *clusterpb.Envelope_Quarantine:
 		d.quarantine.receive(from, k.Quarantine)
+	case *clusterpb.Envelope_RequestCrash:
+		d.quarantine.receiveCrash(from, k.RequestCrash)
+	case *clusterpb.Envelope_RequestAnswer:
+		d.quarantine.receiveAnswer(k.RequestAnswer)
 	case *clusterpb.Envelope_TargetLoads:
 		d.loads.receive(from, sentAfter, k.TargetLoads)
 	case *clusterpb.Envelope_TargetLimits:
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -126,6 +126,7 @@
 	}
 	d.tasks.start("register", d.members.register)
 	d.tasks.start("quarantine", d.quarantine.run)
+	d.tasks.start("crashes", d.quarantine.watchCrashes)
 	d.tasks.start("loads", d.loads.run)
 	if h.contracts.Rollout {
 		d.tasks.start("rollouts", d.rollouts.run)
--- /dev/null
+++ b/internal/entry/crashes.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
+	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/forward"
+	"github.com/sequoiapick/sequoiapick/internal/quarantine"
+)
+
+const (
+	// brokenQueueLength limits the broken attempts that wait to be checked.
+	brokenQueueLength = 256
+	// crashCheckTimeout bounds the check whether a target has ended: some round trips.
+	crashCheckTimeout = 300 * time.Millisecond
+	// crashCheckRetention is how long the result of a check is used for other attempts at the same start of a target.
+	crashCheckRetention = time.Second
+)
+
+// startKey identifies a start of a target.
+type startKey struct {
+	target      string
+	incarnation int64
+}
+
+// crashCheck is the result of a check whether a start of a target has ended.
+type crashCheck struct {
+	at    time.Time
+	ended bool
+}
+
+// attemptBroken queues an attempt that was broken off, to check whether its target has ended.
+func (q *quarantineTable) attemptBroken(b forward.BrokenAttempt) {
+	select {
+	case q.broken <- b:
+	default:
+		q.daemon.log.Emit(event.LoopFailed, "Task", "crashes", "Reason", "too many broken attempts wait to be checked", "Target", b.Target)
+	}
+}
+
+// watchCrashes checks for each broken attempt whether its target has ended, until the context ends. The port of a
+// process that has ended refuses connections; that of one whose connections were reset or cut doesn't.
+func (q *quarantineTable) watchCrashes(ctx context.Context) error {
+	checks := map[startKey]crashCheck{}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case b := <-q.broken:
+			now := q.daemon.Clock.Now()
+			for key, check := range checks {
+				if now.Sub(check.at) > crashCheckRetention {
+					delete(checks, key)
+				}
+			}
+			key := startKey{b.Target, b.Incarnation}
+			check, known := checks[key]
+			if !known {
+				check = crashCheck{at: now, ended: q.hasEnded(ctx, b.Address)}
+				checks[key] = check
+			}
+			if check.ended {
+				q.recordCrash(q.daemon.settings.Host, b.Crash)
+			}
+		}
+	}
+}
+
+func (q *quarantineTable) hasEnded(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	return q.daemon.pool.Refuses(ctx, address)
+}
+
+// recordCrash records a crash that the daemon on a host has seen. Each daemon collects all evidence, so that the death of
+// one loses none; the leader passes on what it hears.
+func (q *quarantineTable) recordCrash(host string, c quarantine.Crash) {
+	news, found := q.tracker.RecordRequestCrash(c)
+	if !news {
+		return
+	}
+	d := q.daemon
+	own, leads := host == d.settings.Host, d.mesh.Leader() == d.settings.Host
+	q.daemon.log.Emit(event.RequestSuspected, "Fingerprint", c.Request.String(), "Request", c.Attempt, "Target", c.Target, "Service", c.Service, "Start", c.Incarnation,
+		"Crashes", q.tracker.RequestCrashes(c.Request), "Source", host)
+	if own || leads {
+		d.mesh.Broadcast(&clusterpb.Envelope{Kind: &clusterpb.Envelope_RequestCrash{RequestCrash: &clusterpb.RequestCrash{
+			Service: c.Service, Fingerprint: c.Request[:], Attempt: c.Attempt, Target: c.Target, Incarnation: c.Incarnation,
+		}}})
+	}
+	if q.tracker.WasAnswered(c.Request) {
+		q.shareAnswer(c.Request, true)
+	}
+	switch cause := (quarantine.Cause{ID: c.Request.String(), Request: true}); {
+	case found && (own || leads):
+		q.hold(cause)
+	case found:
+		q.log(quarantineChange{cause: cause}, host)
+	}
+}
+
+// receiveCrash records a crash that another daemon reports.
+func (q *quarantineTable) receiveCrash(from string, m *clusterpb.RequestCrash) {
+	c := quarantine.Crash{Service: m.GetService(), Attempt: m.GetAttempt(), Target: m.GetTarget(), Incarnation: m.GetIncarnation()}
+	if copy(c.Request[:], m.GetFingerprint()) == len(c.Request) {
+		q.recordCrash(from, c)
+	}
+}
+
+// requestAnswered records that a target has answered a request of this daemon.
+func (q *quarantineTable) requestAnswered(f quarantine.Fingerprint) {
+	cleared, released := q.tracker.RecordRequestAnswer(f)
+	if cleared {
+		q.shareAnswer(f, false)
+	}
+	if released {
+		q.release(quarantine.Cause{ID: f.String(), Request: true})
+	}
+}
+
+// shareAnswer tells the other daemons that a suspected request was answered, before the crashes only or after them.
+func (q *quarantineTable) shareAnswer(f quarantine.Fingerprint, before bool) {
+	q.daemon.mesh.Broadcast(&clusterpb.Envelope{Kind: &clusterpb.Envelope_RequestAnswer{RequestAnswer: &clusterpb.RequestAnswer{Fingerprint: f[:], Before: before}}})
+}
+
+// receiveAnswer records that another daemon has got an answer to a suspected request.
+func (q *quarantineTable) receiveAnswer(m *clusterpb.RequestAnswer) {
+	var f quarantine.Fingerprint
+	if copy(f[:], m.GetFingerprint()) != len(f) || q.tracker.RequestCrashes(f) == 0 {
+		return
+	}
+	if m.GetBefore() {
+		q.tracker.MarkAnswered(f)
+	} else {
+		q.tracker.ClearRequest(f)
+	}
+	if d := q.daemon; d.mesh.Leader() == d.settings.Host {
+		q.shareAnswer(f, m.GetBefore())
+	}
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -201,7 +201,7 @@
 		Memory:               d.memory,
 	}
 	tracker := &quarantine.Tracker{Clock: d.Clock}
-	d.quarantine = quarantineTable{daemon: d, tracker: tracker, changes: make(chan quarantineChange, quarantineQueueLength), restored: make(chan struct{}, 1)}
+	d.quarantine = quarantineTable{daemon: d, tracker: tracker, changes: make(chan quarantineChange, quarantineQueueLength), restored: make(chan struct{}, 1), broken: make(chan forward.BrokenAttempt, brokenQueueLength)}
 	d.targetMemory, d.engineMemory = d.newTargetMemory(), d.newTargetMemory()
 	d.scheduler = &scheduler.Scheduler{
 		EngineMemory:    d.engineMemory,
@@ -228,20 +228,22 @@
 	d.loads.daemon = d
 	d.limitTable.daemon, d.limitTable.table.Share = d, d.limitTable.share
 	d.forwarder = &forward.Forwarder{
-		Table:        d.routeTable.Load,
-		Inventory:    d.inventory,
-		Scheduler:    d.scheduler,
-		Pool:         d.pool,
-		Clock:        d.Clock,
-		Log:          d.log,
-		DataCentre:   s.DataCentre,
-		Quarantine:   tracker,
-		Loads:        &d.loads.table,
-		LoadReported: d.loads.add,
-		Limits:       &d.limitTable.table,
-		LimitNoticed: d.limitTable.notice,
-		TargetMemory: d.targetMemory,
-		Rollouts:     d.rollouts.sides,
+		Table:           d.routeTable.Load,
+		Inventory:       d.inventory,
+		Scheduler:       d.scheduler,
+		Pool:            d.pool,
+		Clock:           d.Clock,
+		Log:             d.log,
+		DataCentre:      s.DataCentre,
+		Quarantine:      tracker,
+		AttemptBroken:   d.quarantine.attemptBroken,
+		RequestAnswered: d.quarantine.requestAnswered,
+		Loads:           &d.loads.table,
+		LoadReported:    d.loads.add,
+		Limits:          &d.limitTable.table,
+		LimitNoticed:    d.limitTable.notice,
+		TargetMemory:    d.targetMemory,
+		Rollouts:        d.rollouts.sides,
 		RetryBudget: &forward.RetryBudget{
 			Clock:   d.Clock,
 			Ratio:   s.Bounds.RetryRatio,
@@ -320,6 +322,7 @@
 	}
 	t.start("register", d.members.register)
 	t.start("quarantine", d.quarantine.run)
+	t.start("crashes", d.quarantine.watchCrashes)
 	t.start("loads", d.loads.run)
 	if d.settings.Contracts.Rollout {
 		t.start("rollouts", d.rollouts.run)
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -11,6 +11,7 @@
 
 	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
 	"github.com/sequoiapick/sequoiapick/internal/event"
+	"github.com/sequoiapick/sequoiapick/internal/forward"
 	"github.com/sequoiapick/sequoiapick/internal/quarantine"
 	"github.com/sequoiapick/sequoiapick/pkg/problem"
 	"github.com/sequoiapick/sequoiapick/platform"
@@ -23,7 +24,7 @@
 	quarantineQueueLength = 256
 )
 
-// quarantineTable shares the quarantined parts of prompts among the daemons: over the links at once,
+// quarantineTable shares the quarantined parts of prompts and requests among the daemons: over the links at once,
 // and through a table of the store, which reaches daemons without a link to the finder and those
 // that start later.
 type quarantineTable struct {
@@ -32,6 +33,8 @@
 	changes chan quarantineChange
 	// restored is signalled when the store was restored from an older copy.
 	restored chan struct{}
+	// broken are the attempts to check, see watchCrashes.
+	broken chan forward.BrokenAttempt
 
 	// mu guards released, the times at which quarantines ended, by the key of the row.
 	mu       sync.Mutex
@@ -44,37 +47,37 @@
 
 // quarantineChange is the begin or the end of a quarantine.
 type quarantineChange struct {
-	part     quarantine.Part
+	cause    quarantine.Cause
 	released bool
 }
 
 // hold shares a part that this daemon has quarantined.
-func (q *quarantineTable) hold(p quarantine.Part) { q.share(quarantineChange{part: p}) }
+func (q *quarantineTable) hold(p quarantine.Cause) { q.share(quarantineChange{cause: p}) }
 
 // release shares the end of a quarantine that this daemon has ended.
-func (q *quarantineTable) release(p quarantine.Part) {
-	q.share(quarantineChange{part: p, released: true})
+func (q *quarantineTable) release(p quarantine.Cause) {
+	q.share(quarantineChange{cause: p, released: true})
 }
 
 func (q *quarantineTable) share(c quarantineChange) {
 	q.record(c)
 	q.log(c, "Self")
 	q.daemon.mesh.Broadcast(&clusterpb.Envelope{Kind: &clusterpb.Envelope_Quarantine{Quarantine: &clusterpb.Quarantine{
-		Service: c.part.Service, Part: c.part.ID, Released: c.released,
+		Service: c.cause.Service, Part: c.cause.ID, Request: c.cause.Request, Released: c.released,
 	}}})
 	select {
 	case q.changes <- c:
 	default:
-		q.daemon.log.Emit(event.LoopFailed, "Task", "quarantine", "Reason", "too many changes wait for the store", "Part", c.part.ID)
+		q.daemon.log.Emit(event.LoopFailed, "Task", "quarantine", "Reason", "too many changes wait for the store", "Part", c.cause.ID)
 	}
 }
 
 // receive applies a change of another daemon.
 func (q *quarantineTable) receive(from string, m *clusterpb.Quarantine) {
-	q.apply(quarantineChange{part: quarantine.Part{Service: m.GetService(), ID: m.GetPart()}, released: m.GetReleased()}, from)
+	q.apply(quarantineChange{cause: quarantine.Cause{Service: m.GetService(), ID: m.GetPart(), Request: m.GetRequest()}, released: m.GetReleased()}, from)
 }
 
-// applyRows handles rows of the table, each of which holds one quarantined part. After the store was
+// applyRows handles rows of the table, each of which holds one quarantined part or request. After the store was
 // restored, what this daemon knows is newer than the rows; run writes it again.
 func (q *quarantineTable) applyRows(changes []platform.Row, source updateSource) {
 	if source.restored {
@@ -90,17 +93,17 @@
 		if row.Deleted {
 			for _, p := range q.tracker.Held() {
 				if quarantineKey(p) == row.Key {
-					q.apply(quarantineChange{part: p, released: true}, "Store")
+					q.apply(quarantineChange{cause: p, released: true}, "Store")
 				}
 			}
 			continue
 		}
-		var p quarantine.Part
+		var p quarantine.Cause
 		if err := json.Unmarshal(row.Value, &p); err != nil || quarantineKey(p) != row.Key {
 			q.daemon.log.Emit(event.LoopFailed, "Task", "read "+platform.TableQuarantine, "Reason", "malformed row", "Key", row.Key)
 			continue
 		}
-		q.apply(quarantineChange{part: p}, "Store")
+		q.apply(quarantineChange{cause: p}, "Store")
 	}
 }
 
@@ -109,9 +112,9 @@
 	changed := false
 	q.record(c)
 	if c.released {
-		changed = q.tracker.Release(c.part)
+		changed = q.tracker.Release(c.cause)
 	} else {
-		changed = q.tracker.Hold(c.part)
+		changed = q.tracker.Hold(c.cause)
 	}
 	if changed {
 		q.log(c, source)
@@ -131,7 +134,7 @@
 			delete(q.released, key)
 		}
 	}
-	key := quarantineKey(c.part)
+	key := quarantineKey(c.cause)
 	delete(q.released, key)
 	if c.released {
 		q.released[key] = now
@@ -147,11 +150,16 @@
 }
 
 func (q *quarantineTable) log(c quarantineChange, source string) {
-	e := event.PartQuarantined
-	if c.released {
-		e = event.PartReleased
+	switch {
+	case c.cause.Request && c.released:
+		q.daemon.log.Emit(event.RequestReleased, "Fingerprint", c.cause.ID, "Source", source)
+	case c.cause.Request:
+		q.daemon.log.Emit(event.RequestQuarantined, "Fingerprint", c.cause.ID, "Source", source)
+	case c.released:
+		q.daemon.log.Emit(event.PartReleased, "Service", c.cause.Service, "Part", c.cause.ID, "Source", source)
+	default:
+		q.daemon.log.Emit(event.PartQuarantined, "Service", c.cause.Service, "Part", c.cause.ID, "Source", source)
 	}
-	q.daemon.log.Emit(e, "Service", c.part.Service, "Part", c.part.ID, "Source", source)
 }
 
 // run writes the changes of this daemon to the store and ends quarantines that are over, until the
@@ -182,16 +190,16 @@
 			q.release(p)
 			continue
 		}
-		q.log(quarantineChange{part: p, released: true}, "Self")
+		q.log(quarantineChange{cause: p, released: true}, "Self")
 	}
 }
 
 // write writes a change to the store; it retries until that succeeds or the context ends.
 func (q *quarantineTable) write(ctx context.Context, c quarantineChange) {
-	row := platform.Row{Table: platform.TableQuarantine, Key: quarantineKey(c.part)}
+	row := platform.Row{Table: platform.TableQuarantine, Key: quarantineKey(c.cause)}
 	tx := platform.Transaction{Removals: []platform.Row{row}}
 	if !c.released {
-		value, err := json.Marshal(c.part)
+		value, err := json.Marshal(c.cause)
 		if err != nil {
 			q.daemon.log.Emit(event.LoopFailed, "Task", "quarantine", "Reason", problem.New(problem.Internal, "encode part: %v", err).Error())
 			return
@@ -215,20 +223,24 @@
 	listed := map[string]bool{}
 	for _, row := range q.daemon.tableReaders[platform.TableQuarantine].rows() {
 		listed[row.Key] = true
-		var p quarantine.Part
+		var p quarantine.Cause
 		if q.wasReleased(row.Key) && json.Unmarshal(row.Value, &p) == nil {
-			q.write(ctx, quarantineChange{part: p, released: true})
+			q.write(ctx, quarantineChange{cause: p, released: true})
 		}
 	}
 	for _, p := range q.tracker.Held() {
 		if !listed[quarantineKey(p)] {
-			q.write(ctx, quarantineChange{part: p})
+			q.write(ctx, quarantineChange{cause: p})
 		}
 	}
 }
 
 // quarantineKey returns the key of the row of a part. Clients choose the IDs of parts, which may be
 // longer than a key.
-func quarantineKey(p quarantine.Part) string {
-	return fmt.Sprintf("%016x", xxhash.Sum64String(p.Service+"\x00"+p.ID))
+func quarantineKey(p quarantine.Cause) string {
+	text := p.Service + "\x00" + p.ID
+	if p.Request {
+		text += "\x00request"
+	}
+	return fmt.Sprintf("%016x", xxhash.Sum64String(text))
 }
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -12,7 +12,7 @@
 // quarantineBound is the smallest contactMs, after which a daemon must know what others have seen.
 const quarantineBound = 3 * time.Second
 
-func (d *Daemon) blocksPart(p quarantine.Part) bool {
+func (d *Daemon) blocksPart(p quarantine.Cause) bool {
 	_, blocked := d.quarantine.tracker.Blocks(p.Service, []string{p.ID, "own"})
 	return blocked
 }
@@ -26,7 +26,7 @@
 	for _, d := range []*Daemon{finder, other} {
 		waitUntil(t, 10*time.Second, d.settings.Host+" has read the table", d.tableReaders[platform.TableQuarantine].loaded)
 	}
-	part := quarantine.Part{Service: "llm", ID: "fatal"}
+	part := quarantine.Cause{Service: "llm", ID: "fatal"}
 	finder.quarantine.tracker.Hold(part)
 	finder.quarantine.hold(part)
 	waitUntil(t, quarantineBound, "the other daemon blocks the part", func() bool { return other.blocksPart(part) })
@@ -43,7 +43,7 @@
 	hosts := []hostSpec{{dataCentre: "a", cpuShare: 0.4}, {dataCentre: "b", cpuShare: 0.4}, {dataCentre: "c", cpuShare: 0.4}}
 	c := startCluster(t, hosts, configurationJSON(t, 1, 1))
 	c.store.SetFault(standinplatform.Fault{Down: true})
-	part := quarantine.Part{Service: "llm", ID: "fatal"}
+	part := quarantine.Cause{Service: "llm", ID: "fatal"}
 	c.daemons[1].quarantine.tracker.Hold(part)
 	c.daemons[1].quarantine.hold(part)
 	for _, d := range c.daemons {
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -273,7 +273,7 @@
 // another one released.
 func TestQuarantineSurvivesRestore(t *testing.T) {
 	c := smallCluster(t)
-	held, released := quarantine.Part{Service: "llm", ID: "held"}, quarantine.Part{Service: "llm", ID: "released"}
+	held, released := quarantine.Cause{Service: "llm", ID: "held"}, quarantine.Cause{Service: "llm", ID: "released"}
 	finder := &c.daemons[0].quarantine
 	rows := func() map[string]bool {
 		listed := map[string]bool{}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -51,7 +51,7 @@
 	Services []dispatch.ServiceState
 	Targets  []TargetState
 	// Quarantined are the parts of prompts with which no request is sent to a target.
-	Quarantined []quarantine.Part
+	Quarantined []quarantine.Cause
 	// Rollouts are the rollouts that operators have ordered.
 	Rollouts []RolloutState `json:",omitempty"`
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -71,6 +71,9 @@
 	PartQuarantined        = Event{315, "PartQuarantined", "requests with a part of a prompt are rejected because engines crash when they answer them"}
 	PartReleased           = Event{316, "PartReleased", "requests with a formerly quarantined part of a prompt are sent to engines again"}
 	AnswerUnconfirmed      = Event{317, "AnswerUnconfirmed", "an answer ended with its connection and counts as incomplete, since the start of its target isn't confirmed"}
+	RequestSuspected       = Event{318, "RequestSuspected", "a target ended while it ran a request, which is evidence against all requests with its fingerprint"}
+	RequestQuarantined     = Event{319, "RequestQuarantined", "requests with a fingerprint are rejected because targets crash when they run them"}
+	RequestReleased        = Event{320, "RequestReleased", "requests with a formerly quarantined fingerprint are sent to targets again"}
 	StageCallFailed        = Event{307, "StageCallFailed", "a call to a stage target failed; if it ran pieces, they go to another target"}
 	TargetDeclined         = Event{308, "TargetDeclined", "this daemon rejected the target that the leader assigned, since it knows the target to accept no new requests"}
 	TargetCold             = Event{400, "TargetCold", "a target has become cold"}
@@ -122,7 +125,7 @@
 		MemoryShort, ClientSlow, TargetBoundLearned, TargetsFull,
 		StageRouted, StageHeld, StageRefused, AttemptFailed, AnswerUnconfirmed, AttemptForwarded, AttemptHedged, LateAnswerDropped,
 		StageCallFailed, TargetDeclined, EngineAssigned, JobRejected, StageCallEnded, WorkHandedOver, WorkInherited,
-		PartSuspected, PartQuarantined, PartReleased,
+		PartSuspected, PartQuarantined, PartReleased, RequestSuspected, RequestQuarantined, RequestReleased,
 		TargetCold, TargetLeaving, TargetMalformed, TargetHeld, LoadMalformed, TargetLimited, LimitMalformed,
 		MembershipAdopted, MembershipFrozen, MemberSwept, PauseDetected, LinkLost, LeaderChanged, MemberLearned,
 		DataCentreCut, DataCentreReached,
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -93,6 +93,16 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// Refuses reports whether the address refuses connections, as that of a process that has ended does. It is false if there
+// is no answer.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // decrementInUse removes one connection from the count of those in use.
 func (p *Pool) decrementInUse(key poolKey) {
 	p.mu.Lock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -58,8 +58,12 @@
 	DataCentre string
 	// RetryBudget bounds the repeated sends of requests.
 	RetryBudget *RetryBudget
-	// Quarantine tells which parts of prompts crash engines; nil quarantines none.
-	Quarantine *quarantine.Tracker
+	// Quarantine tells which parts of prompts and which requests crash targets; nil quarantines none. AttemptBroken is
+	// called with each attempt that its target may have broken off, RequestAnswered with each request that a target
+	// has answered; they must not block, and are needed with Quarantine only.
+	Quarantine      *quarantine.Tracker
+	AttemptBroken   func(BrokenAttempt)
+	RequestAnswered func(quarantine.Fingerprint)
 	// Loads holds what targets report; nil uses a table of its own.
 	Loads *targetload.Table
 	// LoadReported is called with each report that comes with an answer to a plain request. It must not
@@ -123,6 +127,8 @@
 	// resendRefused is set if the last attempt lost a pooled connection and there was no grant for another
 	// send.
 	resendRefused bool
+	// requestFingerprint is set once fingerprint has computed it.
+	requestFingerprint *quarantine.Fingerprint
 	// tried holds the IDs of the targets that a plain request was sent to.
 	tried map[string]bool
 	// full is set if the last choice has left out a target for lack of its memory.
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -113,21 +113,6 @@
 	}
 }
 
-// checkQuarantine returns an error of kind Quarantined if a part of the prompt crashes engines.
-func (q *requestState) checkQuarantine() error {
-	if q.f.Quarantine == nil {
-		return nil
-	}
-	ids := make([]string, 0, len(q.headers.Parts))
-	for _, p := range q.headers.Parts {
-		ids = append(ids, p.ID)
-	}
-	if part, blocked := q.f.Quarantine.Blocks(q.service, ids); blocked {
-		return problem.New(problem.Quarantined, "part %s of the prompt crashes targets of %s", part.ID, part.Service)
-	}
-	return nil
-}
-
 // job returns the scheduler's job for the request; its error has kind Invalid.
 func (q *requestState) job() (scheduler.Job, error) {
 	headers, r := q.headers, q.route
@@ -296,6 +281,7 @@
 		read = true
 		f.Pool.Release(conn)
 		f.Inventory.RecordSuccess(target.ID)
+		q.recordAnswered()
 		ticket.AnswerCompleted()
 		ticket.EngineTimes(s.times.firstEvent, s.times.typicalGap())
 	}
@@ -321,6 +307,9 @@
 	}
 	f.Inventory.RecordFailure(target.ID)
 	q.recordFailure(target.ID, outcomeBroken, "Reason", err.Error(), "Framing", answer.Framing, "LastEvent", s.lastEventID, "UnfinishedBytes", len(s.pending))
+	if isCut(err) {
+		q.attemptBroken(ctx, target)
+	}
 	return engineOutcome{err: err, inputsGone: true, faulty: true, crashedAtStart: s.events == eventsBefore && isCut(err)}
 }
 
@@ -346,6 +335,7 @@
 		return engineOutcome{err: err, inputsGone: true, faulty: true}
 	}
 	q.f.Pool.Release(conn)
+	q.recordAnswered()
 	if s.started() || q.retryError(answer) {
 		return engineOutcome{err: problem.New(problem.TargetFailed, "target %s answered with status %d", target.ID, answer.Head.Status), inputsGone: true, faulty: true}
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -35,6 +35,10 @@
 			last, retryAfter = errStopping, stopRetryAfter
 			break
 		}
+		if err := q.checkQuarantine(); err != nil {
+			q.failUnanswered(ctx, err, 0)
+			return
+		}
 		var target inventory.Target
 		var ok, rateLimited bool
 		if limited.applies() {
@@ -173,16 +177,27 @@
 	}
 	body, whole, err := q.readBuffered(answer)
 	if err == nil && !whole {
-		return true, q.relayLarge(ctx, answer, body, conn)
+		err := q.relayLarge(ctx, answer, body, conn)
+		switch {
+		case err == nil:
+			q.recordAnswered()
+		case isCut(err):
+			q.attemptBroken(ctx, target)
+		}
+		return true, err
 	}
 	if err != nil {
 		f.Pool.Discard(conn)
 		f.Inventory.RecordFailure(target.ID)
 		f.TargetMemory.RecordFailure(f.Clock.Now(), target.ID)
 		q.recordFailure(target.ID, "Truncated", "Reason", err.Error(), "Framing", answer.Framing)
+		if isCut(err) {
+			q.attemptBroken(ctx, target)
+		}
 		return false, problem.New(problem.TargetFailed, "answer of target %s: %v", target.ID, err)
 	}
 	f.Pool.Release(conn)
+	q.recordAnswered()
 	if q.retryError(answer) {
 		return false, problem.New(problem.TargetFailed, "target %s answered with status %d", target.ID, answer.Head.Status)
 	}
@@ -291,6 +306,7 @@
 		q.sends++
 		q.mayHaveRun = true
 		q.recordFailure(target.ID, "Lost", "Reason", err.Error(), "Reused", exchange.Reused(err))
+		q.attemptBroken(ctx, target)
 		if exchange.Reused(err) && ctx.Err() == nil && f.Clock.Since(started) < staleConnTimeout && q.mayResend(target) && q.acquireSend() {
 			q.resendFresh = true
 			continue
--- a/internal/quarantine/benchmark_test.go
+++ b/internal/quarantine/benchmark_test.go
@@ -17,7 +17,7 @@
 		tracker.RecordCrash(llm, []string{fmt.Sprintf("part-%d", i), "own"})
 	}
 	for i := range 20 {
-		tracker.Hold(quarantine.Part{Service: llm, ID: fmt.Sprintf("fatal-%d", i)})
+		tracker.Hold(quarantine.Cause{Service: llm, ID: fmt.Sprintf("fatal-%d", i)})
 	}
 	parts := []string{"common", "rare", "own"}
 	for b.Loop() {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,5 +1,7 @@
-// Package quarantine finds prompt parts that crash engines, and tells which requests must not be
-// sent to any engine because of them. It does no I/O.
+// Package quarantine finds prompt parts that crash engines and requests that crash targets, and tells which requests
+// must not be sent to any target because of them. It does no I/O.
+//
+// # Parts
 //
 // An engine serves many requests at a time, and all of them break off when it crashes. What tells
 // the part that caused it from the others is that no request with it is ever answered. Evidence
@@ -12,6 +14,14 @@
 //
 // The last part of a prompt belongs to one request or session and isn't tracked.
 //
+// # Requests
+//
+// A request that crashes each target that begins to run it comes again with the same fingerprint. Evidence against it is
+// a start of a target that ended while it ran the request. The others that were broken off with it differ
+// in their fingerprints; the same request may run at several targets that end at once for another reason, so that crashes
+// at the same time count once, unless they are those of one attempt, which goes to one target after the other. An
+// answered request is cleared. Answers aren't waited for, since a service may have no target left that could give one.
+//
 // # Usage
 //
 //	t := &quarantine.Tracker{Clock: clock}
@@ -19,6 +29,10 @@
 //	changed, found := t.RecordCrash(service, parts) // report them to the other daemons
 //	t.RecordAnswer(service, parts)
 //	if part, blocked := t.Blocks(service, parts); blocked { ... }
+//
+//	f := quarantine.FingerprintOf(account, method, host, uri, body)
+//	news, found := t.RecordRequestCrash(quarantine.Crash{Request: f, Attempt: id, Target: target, Incarnation: start})
+//	if t.BlocksRequest(f) { ... }
 package quarantine
 
 import (
@@ -56,27 +70,33 @@
 	maxSuspects = 4096
 )
 
-// Part is one part of the prompts of a service.
-type Part struct {
+// Cause is what crashes targets: a part of the prompts of a service, or a request.
+type Cause struct {
+	// Service is empty for a request, which may go to several services.
 	Service string
-	ID      string
+	// ID is that of the part, or the fingerprint of the request.
+	ID string
+	// Request is set for a request.
+	Request bool `json:",omitempty"`
 }
 
-// Suspicion is the evidence against a part; no crashes mean that it was cleared.
+// Suspicion is the evidence against a part of prompts; no crashes mean that it was cleared.
 type Suspicion struct {
-	Part    Part
+	Cause   Cause
 	Crashes int
 }
 
-// Tracker holds the suspected and the quarantined parts. Only its Clock is required. It is safe
+// Tracker holds the suspected and the quarantined parts and requests. Only its Clock is required. It is safe
 // for concurrent use.
 type Tracker struct {
 	Clock clockwork.Clock
 
 	mu       sync.Mutex
-	suspects map[Part]*suspect
-	// held is when the quarantine of a part ends.
-	held map[Part]time.Time
+	suspects map[Cause]*suspect
+	// held is when the quarantine of a part or a request ends.
+	held map[Cause]time.Time
+	// requests is the evidence against requests.
+	requests requestEvidence
 	// answers is the number of answered requests by service, answered are the parts of the last ones.
 	answers  map[string]int
 	answered answeredParts
@@ -84,17 +104,17 @@
 
 // answeredParts are the parts of recently answered requests. The zero value has none.
 type answeredParts struct {
-	recent, older map[Part]bool
+	recent, older map[Cause]bool
 }
 
-func (a *answeredParts) add(p Part) {
+func (a *answeredParts) add(p Cause) {
 	if a.recent == nil || len(a.recent) >= answeredGeneration {
-		a.recent, a.older = map[Part]bool{}, a.recent
+		a.recent, a.older = map[Cause]bool{}, a.recent
 	}
 	a.recent[p] = true
 }
 
-func (a *answeredParts) has(p Part) bool { return a.recent[p] || a.older[p] }
+func (a *answeredParts) has(p Cause) bool { return a.recent[p] || a.older[p] }
 
 // suspect is the evidence against one part.
 type suspect struct {
@@ -108,7 +128,7 @@
 
 // RecordCrash records that an engine crashed when it began to answer a request with the parts. It
 // returns the parts whose evidence has changed, and those that are quarantined from now on.
-func (t *Tracker) RecordCrash(service string, parts []string) (changed []Suspicion, found []Part) {
+func (t *Tracker) RecordCrash(service string, parts []string) (changed []Suspicion, found []Cause) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
@@ -125,7 +145,7 @@
 		}
 		s.crashes++
 		s.crashedAt = now
-		changed = append(changed, Suspicion{Part: p, Crashes: s.crashes})
+		changed = append(changed, Suspicion{Cause: p, Crashes: s.crashes})
 	}
 	if len(changed) == 0 {
 		return nil, nil
@@ -140,8 +160,8 @@
 // fatalParts returns the parts of a crash to quarantine. Several may have enough evidence, since
 // answers that would clear the sound ones take a while. Of these it is one that was never answered
 // before, and the one that came in the fewest requests.
-func (t *Tracker) fatalParts(service string, shared []Part) []Part {
-	var likeliest []Part
+func (t *Tracker) fatalParts(service string, shared []Cause) []Cause {
+	var likeliest []Cause
 	crashes := 0
 	for _, p := range shared {
 		s := t.suspects[p]
@@ -150,7 +170,7 @@
 		}
 		switch order := t.compareSuspects(p, likeliest); {
 		case order < 0:
-			likeliest, crashes = []Part{p}, s.crashes
+			likeliest, crashes = []Cause{p}, s.crashes
 		case order == 0:
 			likeliest, crashes = append(likeliest, p), max(crashes, s.crashes)
 		}
@@ -166,11 +186,11 @@
 
 // compareSuspects returns a negative number if the part is more likely to be fatal than the
 // others, which are equally likely, a positive one if less, and 0 if nothing tells them apart.
-func (t *Tracker) compareSuspects(p Part, others []Part) int {
+func (t *Tracker) compareSuspects(p Cause, others []Cause) int {
 	if len(others) == 0 {
 		return -1
 	}
-	rank := func(p Part) int {
+	rank := func(p Cause) int {
 		if t.answered.has(p) {
 			return 1
 		}
@@ -195,7 +215,7 @@
 
 // RecordAnswer records that a request with the parts was answered completely. It returns the parts
 // that were cleared, and those whose quarantine ends because of it.
-func (t *Tracker) RecordAnswer(service string, parts []string) (cleared []Suspicion, released []Part) {
+func (t *Tracker) RecordAnswer(service string, parts []string) (cleared []Suspicion, released []Cause) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.answers == nil {
@@ -206,7 +226,7 @@
 		t.answered.add(p)
 		if t.suspects[p] != nil {
 			delete(t.suspects, p)
-			cleared = append(cleared, Suspicion{Part: p})
+			cleared = append(cleared, Suspicion{Cause: p})
 		}
 		if _, held := t.held[p]; held {
 			delete(t.held, p)
@@ -221,16 +241,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s.Crashes == 0 {
-		delete(t.suspects, s.Part)
+		delete(t.suspects, s.Cause)
 		return
 	}
 	now := t.Clock.Now()
-	own := t.suspect(s.Part, now)
+	own := t.suspect(s.Cause, now)
 	own.crashes, own.crashedAt = s.Crashes, now
 }
 
-// Hold quarantines a part that another daemon has found. It reports whether that is a change.
-func (t *Tracker) Hold(p Part) bool {
+// Hold quarantines what another daemon has found. It reports whether that is a change.
+func (t *Tracker) Hold(p Cause) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
@@ -241,8 +261,8 @@
 	return true
 }
 
-// Release ends the quarantine of a part. It reports whether that is a change.
-func (t *Tracker) Release(p Part) bool {
+// Release ends a quarantine. It reports whether that is a change.
+func (t *Tracker) Release(p Cause) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	_, held := t.held[p]
@@ -251,11 +271,11 @@
 }
 
 // Blocks returns a quarantined part of a request, and false if it has none.
-func (t *Tracker) Blocks(service string, parts []string) (Part, bool) {
+func (t *Tracker) Blocks(service string, parts []string) (Cause, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.held) == 0 {
-		return Part{}, false
+		return Cause{}, false
 	}
 	now := t.Clock.Now()
 	for _, p := range sharedParts(service, parts) {
@@ -263,38 +283,43 @@
 			return p, true
 		}
 	}
-	return Part{}, false
+	return Cause{}, false
 }
 
-// Held returns the quarantined parts, sorted by service and ID.
-func (t *Tracker) Held() []Part {
+// Held returns what is quarantined, sorted by service and ID.
+func (t *Tracker) Held() []Cause {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
-	var list []Part
+	var list []Cause
 	for p := range t.held {
 		if t.holds(p, now) {
 			list = append(list, p)
 		}
 	}
-	slices.SortFunc(list, func(a, b Part) int {
+	slices.SortFunc(list, func(a, b Cause) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
 	})
 	return list
 }
 
-// RemoveExpired ends the quarantines that are over and returns their parts. The next crash with
-// such a part quarantines it again.
-func (t *Tracker) RemoveExpired() []Part {
+// RemoveExpired ends the quarantines that are over and returns them. The next crash with the same cause quarantines it
+// again.
+func (t *Tracker) RemoveExpired() []Cause {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
-	var expired []Part
+	var expired []Cause
 	for p := range t.held {
 		if t.holds(p, now) {
 			continue
 		}
 		delete(t.held, p)
+		if p.Request {
+			t.requests.expect(p, now)
+			expired = append(expired, p)
+			continue
+		}
 		s := t.suspect(p, now)
 		s.crashes, s.crashedAt = crashesToQuarantine-1, now.Add(-minCrashInterval)
 		expired = append(expired, p)
@@ -302,27 +327,28 @@
 	return expired
 }
 
-func (t *Tracker) holds(p Part, now time.Time) bool {
+func (t *Tracker) holds(p Cause, now time.Time) bool {
 	until, held := t.held[p]
 	return held && now.Before(until)
 }
 
-func (t *Tracker) hold(p Part, now time.Time) {
+func (t *Tracker) hold(p Cause, now time.Time) {
 	if t.held == nil {
-		t.held = map[Part]time.Time{}
+		t.held = map[Cause]time.Time{}
 	}
 	t.held[p] = now.Add(holdTime)
 	delete(t.suspects, p)
+	delete(t.requests.suspects, p)
 }
 
 // suspect returns the evidence against a part, new evidence if there is none that still counts.
-func (t *Tracker) suspect(p Part, now time.Time) *suspect {
+func (t *Tracker) suspect(p Cause, now time.Time) *suspect {
 	s := t.suspects[p]
 	if s != nil && now.Sub(s.crashedAt) < suspicionLifetime {
 		return s
 	}
 	if t.suspects == nil {
-		t.suspects = map[Part]*suspect{}
+		t.suspects = map[Cause]*suspect{}
 	}
 	if s == nil && len(t.suspects) >= maxSuspects {
 		t.forgetOldest()
@@ -333,7 +359,7 @@
 }
 
 func (t *Tracker) forgetOldest() {
-	var oldest Part
+	var oldest Cause
 	var at time.Time
 	for p, s := range t.suspects {
 		if at.IsZero() || s.crashedAt.Before(at) {
@@ -345,13 +371,13 @@
 
 // sharedParts returns the distinct parts of a prompt that other requests may share, which are all
 // but the last.
-func sharedParts(service string, parts []string) []Part {
+func sharedParts(service string, parts []string) []Cause {
 	if len(parts) < 2 {
 		return nil
 	}
-	list := make([]Part, 0, len(parts)-1)
+	list := make([]Cause, 0, len(parts)-1)
 	for _, id := range parts[:len(parts)-1] {
-		if p := (Part{Service: service, ID: id}); !slices.Contains(list, p) {
+		if p := (Cause{Service: service, ID: id}); !slices.Contains(list, p) {
 			list = append(list, p)
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -178,7 +178,7 @@
 
 func TestQuarantineEndsAndReturnsWithNextCrash(t *testing.T) {
 	tracker, clock := newTracker()
-	fatal := quarantine.Part{Service: llm, ID: "fatal"}
+	fatal := quarantine.Cause{Service: llm, ID: "fatal"}
 	if !tracker.Hold(fatal) || tracker.Hold(fatal) {
 		t.Fatal("Hold doesn't report changes")
 	}
@@ -198,7 +198,7 @@
 // TestAnswerReleasesPart answers a request that was sent before its part was quarantined.
 func TestAnswerReleasesPart(t *testing.T) {
 	tracker, _ := newTracker()
-	tracker.Hold(quarantine.Part{Service: llm, ID: "sound"})
+	tracker.Hold(quarantine.Cause{Service: llm, ID: "sound"})
 	if _, released := tracker.RecordAnswer(llm, []string{"sound", "own"}); len(released) != 1 || len(tracker.Held()) > 0 {
 		t.Errorf("%v are released, want the answered part", released)
 	}
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -80,7 +80,7 @@
 		s.pendingHoldings = &clusterpb.Holdings{}
 	}
 	for _, c := range changed {
-		s.pendingHoldings.Suspects = append(s.pendingHoldings.Suspects, &clusterpb.Suspect{Service: c.Part.Service, Part: c.Part.ID, Crashes: int64(c.Crashes)})
+		s.pendingHoldings.Suspects = append(s.pendingHoldings.Suspects, &clusterpb.Suspect{Service: c.Cause.Service, Part: c.Cause.ID, Crashes: int64(c.Crashes)})
 	}
 }
 
@@ -90,7 +90,7 @@
 		return
 	}
 	for _, m := range suspects {
-		s.Quarantine.Inherit(quarantine.Suspicion{Part: quarantine.Part{Service: m.GetService(), ID: m.GetPart()}, Crashes: int(m.GetCrashes())})
+		s.Quarantine.Inherit(quarantine.Suspicion{Cause: quarantine.Cause{Service: m.GetService(), ID: m.GetPart()}, Crashes: int(m.GetCrashes())})
 	}
 }
 
--- a/internal/scheduler/quarantine_test.go
+++ b/internal/scheduler/quarantine_test.go
@@ -17,10 +17,10 @@
 // quarantined records the parts that a daemon has found.
 type quarantined struct {
 	mu    sync.Mutex
-	parts []quarantine.Part
+	parts []quarantine.Cause
 }
 
-func (q *quarantined) add(p quarantine.Part) {
+func (q *quarantined) add(p quarantine.Cause) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.parts = append(q.parts, p)
@@ -37,7 +37,7 @@
 	found := &quarantined{}
 	for _, s := range n.schedulers {
 		s.Quarantine = &quarantine.Tracker{Clock: clockwork.NewRealClock()}
-		s.PartQuarantined, s.PartReleased = found.add, func(quarantine.Part) {}
+		s.PartQuarantined, s.PartReleased = found.add, func(quarantine.Cause) {}
 	}
 	return found
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -153,7 +153,7 @@
 	Quarantine *quarantine.Tracker
 	// PartQuarantined and PartReleased are called when this daemon has found that a part must be
 	// quarantined or released. They must not block, and are needed with Quarantine only.
-	PartQuarantined, PartReleased func(quarantine.Part)
+	PartQuarantined, PartReleased func(quarantine.Cause)
 	// Loads holds what targets report, nil if nothing is known; it is set before Init.
 	Loads *targetload.Table
 	// Limits holds the rate limits that targets name, nil if none are heeded; it is set before Init. LimitNoticed is
