test: show that a head that ends with its connection is no answer

What callers of other systems saw: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

Cause: none here. A head is parsed only once its last blank line was read.

--- a/internal/link/malformed_test.go
+++ b/internal/link/malformed_test.go
@@ -79,3 +79,22 @@
 		}
 	}
 }
+
+// TestHeadThatEndsWithItsConnectionIsNoAnswer ends the heads of a report and of an answer behind each byte.
+func TestHeadThatEndsWithItsConnectionIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 2\r\n\r\n"
+	for sent := range len(head) {
+		pool := &link.Pool{}
+		if _, err := pool.Dial(t.Context(), target.Target{Address: startTarget(t, head[:sent])}); err == nil || !link.NotSent(err) {
+			t.Errorf("report, %d bytes: got %v, want an error that states that nothing was sent", sent, err)
+		}
+		conn, err := pool.Dial(t.Context(), target.Target{Address: startTarget(t, reportAnswer, head[:sent]), EchoesAttempt: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err = conn.Send(context.Background(), link.Attempt{ID: "a", Kind: "llm"}, func([]byte) error { return nil }); err == nil || link.NotSent(err) {
+			t.Errorf("answer, %d bytes: got %v, want an error that doesn't state that nothing was sent", sent, err)
+		}
+		pool.Close(conn)
+	}
+}
