test(entry): soak limits and fatal requests while daemons and the store fail

The checks of limits and of fatal requests are shared with the specs, unchanged in their bounds; the use of a limit is checked apart.

--- a/test/entry/fatal_request_test.go
+++ b/test/entry/fatal_request_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -40,19 +39,13 @@
 	}
 }
 
-// fatalAttempts returns when attempts with the fatal query reached servers, in order. Attempts of excused daemons are left
-// out.
-func (f *fleet) fatalAttempts(excused ...*daemon) []time.Time {
-	ips := map[string]bool{}
-	for _, d := range excused {
-		ip, _, err := net.SplitHostPort(d.frontAddress)
-		Expect(err).NotTo(HaveOccurred())
-		ips[ip] = true
-	}
+// fatalAttempts returns when attempts with the fatal query reached servers, in order. Those that are excused by host and
+// time are left out.
+func (f *fleet) fatalAttempts(excused func(ip string, at time.Time) bool) []time.Time {
 	var times []time.Time
 	for _, s := range f.servers {
 		for _, e := range s.Journal() {
-			if strings.HasSuffix(e.URI, "?"+fatalQuery) && !ips[e.Host] {
+			if strings.HasSuffix(e.URI, "?"+fatalQuery) && !excused(e.Host, e.At) {
 				times = append(times, e.At)
 			}
 		}
@@ -61,6 +54,20 @@
 	return times
 }
 
+// checkFatalAttempts fails the spec if the request with the fatal query reached servers more often than the rule allows
+// later than contactTime after its third crash.
+func (f *fleet) checkFatalAttempts(excused func(ip string, at time.Time) bool) {
+	all := f.fatalAttempts(isHost())
+	Expect(len(all)).To(BeNumerically(">=", crashesToLearn))
+	late := 0
+	for _, at := range f.fatalAttempts(excused) {
+		if at.After(all[crashesToLearn-1].Add(contactTime)) {
+			late++
+		}
+	}
+	Expect(late).To(BeNumerically("<=", maxLateSends), "sends of the request after the bound; %d in all", len(all))
+}
+
 // sendSame sends attempts with the query to random daemons at an interval, until the context ends, and adds them to the
 // list.
 func (f *fleet) sendSame(ctx doneSignal, group *sync.WaitGroup, interval time.Duration, route, query string, list *[]*attempt) {
@@ -112,16 +119,8 @@
 		group.Wait()
 		attempts := l.end()
 		f.checkRules(slices.Concat(attempts, popular, fatal))
-		all, sends := f.fatalAttempts(), f.fatalAttempts(excused...)
-		Expect(len(all)).To(BeNumerically(">=", crashesToLearn))
-		bound := all[crashesToLearn-1].Add(contactTime)
-		late := 0
-		for _, at := range sends {
-			if at.After(bound) {
-				late++
-			}
-		}
-		Expect(late).To(BeNumerically("<=", maxLateSends), "sends of the request after the bound; %d in all", len(all))
+		f.checkFatalAttempts(isHost(excused...))
+		all := f.fatalAttempts(isHost())
 		for kind, sound := range map[string][]*attempt{"other": attempts, "popular": popular} {
 			ok, count := served(sound, all[len(all)-1].Add(contactTime), time.Now())
 			Expect(count).To(BeNumerically(">", 10))
--- a/test/entry/limit_test.go
+++ b/test/entry/limit_test.go
@@ -21,8 +21,8 @@
 func allowedInWindow(perSecond float64) float64 { return 1.5*perSecond*limitWindow.Seconds() + 5 }
 
 // limitedRequests returns when requests reached a server that has named a limit, from contactTime after it first did,
-// by hosts that it had told. Health checks don't count, and neither do the excused daemons.
-func limitedRequests(s *server, excused []*daemon) []time.Time {
+// by hosts that it had told. Health checks don't count, and neither do requests that are excused by host and time.
+func limitedRequests(s *server, excused func(ip string, at time.Time) bool) []time.Time {
 	told := s.LimitedAt()
 	var first time.Time
 	for _, at := range told {
@@ -30,15 +30,10 @@
 			first = at
 		}
 	}
-	for _, d := range excused {
-		ip, _, err := net.SplitHostPort(d.frontAddress)
-		Expect(err).NotTo(HaveOccurred())
-		delete(told, ip)
-	}
 	var times []time.Time
 	for _, r := range s.Requests() {
 		at, known := told[r.Host]
-		if known && r.Path != "/health" && r.At.After(at.Add(toldAfter)) && r.At.After(first.Add(contactTime)) {
+		if known && r.Path != "/health" && r.At.After(at.Add(toldAfter)) && r.At.After(first.Add(contactTime)) && !excused(r.Host, r.At) {
 			times = append(times, r.At)
 		}
 	}
@@ -58,28 +53,42 @@
 	return most
 }
 
-// checkLimits fails the spec if a server got more requests than its limit allows, or less than half of what it allows
-// in the last seconds.
-func (f *fleet) checkLimits(servers []*server, perSecond float64, excused ...*daemon) {
+// isHost returns a function that reports whether an IP is that of one of the daemons.
+func isHost(daemons ...*daemon) func(string, time.Time) bool {
+	ips := map[string]bool{}
+	for _, d := range daemons {
+		ip, _, err := net.SplitHostPort(d.frontAddress)
+		Expect(err).NotTo(HaveOccurred())
+		ips[ip] = true
+	}
+	return func(ip string, _ time.Time) bool { return ips[ip] }
+}
+
+// checkLimits fails the spec if a server got more requests than its limit allows.
+func checkLimits(servers []*server, perSecond float64, excused func(ip string, at time.Time) bool) {
 	var violations []string
 	for _, s := range servers {
-		times := limitedRequests(s, excused)
-		if most := mostInWindow(times); float64(most) > allowedInWindow(perSecond) {
+		if most := mostInWindow(limitedRequests(s, excused)); float64(most) > allowedInWindow(perSecond) {
 			violations = append(violations, fmt.Sprintf("LIMIT: %s got %d requests in %v, allowed are %v", s.ID, most, limitWindow, allowedInWindow(perSecond)))
 		}
-		if len(excused) == 0 && len(times) > 0 {
-			last, used := times[len(times)-1], 0
-			for _, at := range times {
-				if last.Sub(at) < limitWindow {
-					used++
-				}
-			}
-			if float64(used) < perSecond*limitWindow.Seconds()/2 {
-				violations = append(violations, fmt.Sprintf("%s got %d requests in its last %v, though it takes %v a second", s.ID, used, limitWindow, perSecond))
+	}
+	Expect(violations).To(BeEmpty())
+}
+
+// checkLimitsUsed fails the spec if a server got less than half of the requests that its limit allows in the last
+// seconds.
+func checkLimitsUsed(servers []*server, perSecond float64) {
+	for _, s := range servers {
+		times := limitedRequests(s, isHost())
+		Expect(times).NotTo(BeEmpty(), s.ID)
+		last, used := times[len(times)-1], 0
+		for _, at := range times {
+			if last.Sub(at) < limitWindow {
+				used++
 			}
 		}
+		Expect(float64(used)).To(BeNumerically(">=", perSecond*limitWindow.Seconds()/2), "requests in the last %v of %s, which takes %v a second", limitWindow, s.ID, perSecond)
 	}
-	Expect(violations).To(BeEmpty())
 }
 
 var _ = Describe("an entry host", func() {
@@ -103,7 +112,7 @@
 		time.Sleep(contactTime + limitWindow)
 		attempts := l.end()
 		f.checkRules(attempts)
-		f.checkLimits(limited, perSecond, leader)
+		checkLimits(limited, perSecond, isHost(leader))
 		ok, all := served(attempts, time.Time{}, time.Now())
 		Expect(ok).To(BeNumerically(">=", all*95/100), "requests are served by the servers without a limit")
 	})
@@ -116,7 +125,8 @@
 		}
 		l := f.startLoad()
 		time.Sleep(contactTime + 2*limitWindow)
-		f.checkLimits(limited, perSecond)
+		checkLimits(limited, perSecond, isHost())
+		checkLimitsUsed(limited, perSecond)
 		for _, s := range limited {
 			s.SetLimit("")
 		}
--- a/test/entry/soak_test.go
+++ b/test/entry/soak_test.go
@@ -62,10 +62,32 @@
 	mu sync.Mutex
 	// faulty are the daemons that have a fault now.
 	faulty map[*daemon]bool
+	// disturbances are the times in which each daemon has had a fault.
+	disturbances map[*daemon][]disturbance
 	// faultLog lists the injected faults with their times, to be printed if the spec fails.
 	faultLog []string
 }
 
+// disturbance is a time in which a daemon has a fault; to is zero until it ends.
+type disturbance struct{ from, to time.Time }
+
+// isDisturbed reports whether the daemon with the IP has a fault at a time, or had one in the contactTime before.
+func (s *soak) isDisturbed(ip string, at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for d, list := range s.disturbances {
+		if !strings.HasPrefix(d.frontAddress, ip+":") {
+			continue
+		}
+		for _, x := range list {
+			if !at.Before(x.from) && (x.to.IsZero() || at.Before(x.to.Add(contactTime))) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // record adds a line to the fault log, with the seconds of the current time.
 func (s *soak) record(format string, args ...any) {
 	s.mu.Lock()
@@ -83,6 +105,7 @@
 		return nil
 	}
 	s.faulty[d] = true
+	s.disturbances[d] = append(s.disturbances[d], disturbance{from: time.Now()})
 	return d
 }
 
@@ -90,6 +113,7 @@
 func (s *soak) release(d *daemon) {
 	s.mu.Lock()
 	delete(s.faulty, d)
+	s.disturbances[d][len(s.disturbances[d])-1].to = time.Now()
 	s.mu.Unlock()
 	s.load.setExcluded(d, false)
 }
@@ -255,7 +279,7 @@
 // startSoak starts a fleet whose servers are reached over relays, and the load.
 func startSoak(seed uint64, contracts ...string) *soak {
 	f := newFleet(soakDaemons, contracts...)
-	s := &soak{fleet: f, random: rand.New(rand.NewPCG(seed, 0)), faulty: map[*daemon]bool{}}
+	s := &soak{fleet: f, random: rand.New(rand.NewPCG(seed, 0)), faulty: map[*daemon]bool{}, disturbances: map[*daemon][]disturbance{}}
 	f.mu.Lock()
 	for _, server := range f.servers {
 		r := newRelay(server.address)
