perf(quarantine): collect the evidence against requests at the leader and its standbys

Cause: each daemon collected all evidence.

Change: the leader and its standbys collect it, and the leader tells all daemons of a request from its second crash on. A notice of a limit that is no news goes to them only, too.

--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sequoiapick/sequoiapick/internal/cluster/clusterpb"
@@ -74,24 +75,31 @@
 	return q.daemon.pool.Refuses(ctx, address)
 }
 
-// recordCrash records a crash that the daemon on a host has seen. Each daemon collects all evidence, so that the death of
-// one loses none; the leader passes on what it hears.
+// spreadCrashes is the number of crashes from which the leader tells all daemons of a suspected request. One crash breaks
+// off many requests, of which only the one that caused it crashes another target.
+const spreadCrashes = 2
+
+// recordCrash records a crash that the daemon on a host has seen. The leader and its standbys collect the evidence of all
+// daemons, so that the death of one loses none.
 func (q *quarantineTable) recordCrash(host string, c quarantine.Crash) {
 	news, found := q.tracker.RecordRequestCrash(c)
 	if !news {
 		return
 	}
 	d := q.daemon
-	own, leads := host == d.settings.Host, d.mesh.Leader() == d.settings.Host
-	q.daemon.log.Emit(event.RequestSuspected, "Fingerprint", c.Request.String(), "Request", c.Attempt, "Target", c.Target, "Service", c.Service, "Start", c.Incarnation,
-		"Crashes", q.tracker.RequestCrashes(c.Request), "Source", host)
-	if own || leads {
-		d.mesh.Broadcast(&clusterpb.Envelope{Kind: &clusterpb.Envelope_RequestCrash{RequestCrash: &clusterpb.RequestCrash{
-			Service: c.Service, Fingerprint: c.Request[:], Attempt: c.Attempt, Target: c.Target, Incarnation: c.Incarnation,
-		}}})
+	own, leads, crashes := host == d.settings.Host, d.mesh.Leader() == d.settings.Host, q.tracker.RequestCrashes(c.Request)
+	d.log.Emit(event.RequestSuspected, "Fingerprint", c.Request.String(), "Request", c.Attempt, "Target", c.Target, "Service", c.Service, "Start", c.Incarnation,
+		"Crashes", crashes, "Source", host)
+	e := &clusterpb.Envelope{Kind: &clusterpb.Envelope_RequestCrash{RequestCrash: &clusterpb.RequestCrash{
+		Service: c.Service, Fingerprint: c.Request[:], Attempt: c.Attempt, Target: c.Target, Incarnation: c.Incarnation,
+	}}}
+	if leads && crashes >= spreadCrashes {
+		d.mesh.Broadcast(e)
+	} else if own {
+		d.tellLeaders(e)
 	}
-	if q.tracker.WasAnswered(c.Request) {
-		q.shareAnswer(c.Request, true)
+	if q.tracker.WasAnswered(c.Request) && q.tracker.MarkAnswered(c.Request) {
+		d.tellLeaders(encodeAnswer(c.Request, true))
 	}
 	switch cause := (quarantine.Cause{ID: c.Request.String(), Request: true}); {
 	case found && (own || leads):
@@ -113,30 +121,50 @@
 func (q *quarantineTable) requestAnswered(f quarantine.Fingerprint) {
 	cleared, released := q.tracker.RecordRequestAnswer(f)
 	if cleared {
-		q.shareAnswer(f, false)
+		q.shareAnswer(f)
 	}
 	if released {
 		q.release(quarantine.Cause{ID: f.String(), Request: true})
 	}
 }
 
-// shareAnswer tells the other daemons that a suspected request was answered, before the crashes only or after them.
-func (q *quarantineTable) shareAnswer(f quarantine.Fingerprint, before bool) {
-	q.daemon.mesh.Broadcast(&clusterpb.Envelope{Kind: &clusterpb.Envelope_RequestAnswer{RequestAnswer: &clusterpb.RequestAnswer{Fingerprint: f[:], Before: before}}})
+// shareAnswer tells that a suspected request was answered after its crashes: the leader tells all daemons, others tell the
+// leader.
+func (q *quarantineTable) shareAnswer(f quarantine.Fingerprint) {
+	if d := q.daemon; d.mesh.Leader() == d.settings.Host {
+		d.mesh.Broadcast(encodeAnswer(f, false))
+	} else {
+		d.tellLeaders(encodeAnswer(f, false))
+	}
 }
 
 // receiveAnswer records that another daemon has got an answer to a suspected request.
 func (q *quarantineTable) receiveAnswer(m *clusterpb.RequestAnswer) {
 	var f quarantine.Fingerprint
-	if copy(f[:], m.GetFingerprint()) != len(f) || q.tracker.RequestCrashes(f) == 0 {
+	if copy(f[:], m.GetFingerprint()) != len(f) {
 		return
 	}
 	if m.GetBefore() {
 		q.tracker.MarkAnswered(f)
-	} else {
-		q.tracker.ClearRequest(f)
+		return
 	}
-	if d := q.daemon; d.mesh.Leader() == d.settings.Host {
-		q.shareAnswer(f, m.GetBefore())
+	if d := q.daemon; q.tracker.ClearRequest(f) && d.mesh.Leader() == d.settings.Host {
+		d.mesh.Broadcast(encodeAnswer(f, false))
+	}
+}
+
+// encodeAnswer returns the message that a suspected request was answered, before its crashes only or after them.
+func encodeAnswer(f quarantine.Fingerprint, before bool) *clusterpb.Envelope {
+	return &clusterpb.Envelope{Kind: &clusterpb.Envelope_RequestAnswer{RequestAnswer: &clusterpb.RequestAnswer{Fingerprint: f[:], Before: before}}}
+}
+
+// tellLeaders sends a message to the leader and to the daemons that would lead next.
+func (d *Daemon) tellLeaders(e *clusterpb.Envelope) {
+	hosts := d.mesh.Standbys()
+	if leader := d.mesh.Leader(); leader != "" && leader != d.settings.Host && !slices.Contains(hosts, leader) {
+		hosts = append(hosts, leader)
+	}
+	for _, host := range hosts {
+		d.mesh.Send(host, e)
 	}
 }
--- a/internal/entry/target_limits.go
+++ b/internal/entry/target_limits.go
@@ -11,7 +11,7 @@
 
 // limitTable holds the rate limits that targets name and shares them among the daemons: a daemon tells those that it has
 // links to, and the leader passes news on to all. Messages may be lost, so that a daemon repeats what it receives with
-// answers from time to time.
+// answers from time to time, to the leader.
 type limitTable struct {
 	daemon *Daemon
 	table  targetlimit.Table
@@ -21,11 +21,12 @@
 func (l *limitTable) notice(n targetlimit.Notice) {
 	n.Source = l.daemon.settings.Host
 	news, due := l.table.Record(n)
-	if news {
+	switch e := encodeLimits(l.daemon.Clock.Now(), n); {
+	case news:
 		l.log(n)
-	}
-	if due {
-		l.daemon.mesh.Broadcast(encodeLimits(l.daemon.Clock.Now(), n))
+		l.daemon.mesh.Broadcast(e)
+	case due:
+		l.daemon.tellLeaders(e)
 	}
 }
 
--- a/internal/forward/limited.go
+++ b/internal/forward/limited.go
@@ -105,7 +105,6 @@
 		return err
 	}
 	job.Plain = true
-	job.Generation.Exclude = q.tried
 	c.ticket = q.f.Scheduler.Submit(job)
 	return nil
 }
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -46,7 +46,7 @@
 	// attempt is that of the last crash, which counted at crashedAt.
 	attempt   string
 	crashedAt time.Time
-	// answered is set if another daemon has answered the request before the crashes.
+	// answered is set if a daemon had an answer to the request before the crashes.
 	answered bool
 }
 
@@ -106,11 +106,12 @@
 	return cleared, released
 }
 
-// ClearRequest removes the evidence against a request that another daemon has got an answer to.
-func (t *Tracker) ClearRequest(f Fingerprint) {
+// ClearRequest removes the evidence against a request that another daemon has got an answer to, and reports whether there
+// was any.
+func (t *Tracker) ClearRequest(f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.clear(f)
+	return t.clear(f)
 }
 
 func (t *Tracker) clear(f Fingerprint) bool {
@@ -127,13 +128,17 @@
 	return t.requests.wasAnswered(f)
 }
 
-// MarkAnswered records that another daemon had an answer to a suspected request before it crashed targets.
-func (t *Tracker) MarkAnswered(f Fingerprint) {
+// MarkAnswered records that a daemon had an answer to a suspected request before it crashed targets, and reports whether
+// that is news.
+func (t *Tracker) MarkAnswered(f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.requests.suspects[requestCause(f)]; s != nil {
-		s.answered = true
+	s := t.requests.suspects[requestCause(f)]
+	if s == nil || s.answered {
+		return false
 	}
+	s.answered = true
+	return true
 }
 
 // BlocksRequest reports whether a request is quarantined.
