fix(forward): reject requests of a route whose services have no weight

Cause: without a weight no service is chosen, and the targets of the service without a name are all targets.

Change: such a request is rejected with 503, as not run.

Why it works: nothing is looked up for a request without a service.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -212,7 +212,7 @@
 var errTimeout = problem.New(problem.Late, "the deadline of the request has passed")
 
 // admit sets the configuration, route, account, deadline and service of the request. Its
-// errors have the kinds Invalid, Stopping, NotFound and Unauthenticated.
+// errors have the kinds Invalid, Stopping, NotFound, Unauthenticated and Unavailable.
 func (q *requestState) admit() error {
 	headers, err := platform.DecodeClientRequest(q.request.Header)
 	if err != nil {
@@ -247,7 +247,9 @@
 		timeout = defaultTimeout
 	}
 	q.deadline = q.request.Arrived.Add(timeout)
-	q.service = pickService(r.Backends)
+	if q.service = pickService(r.Backends); q.service == "" {
+		return problem.New(problem.Unavailable, "no service of route %s has a weight", r.Name)
+	}
 	return nil
 }
 
