test(entry): serve requests that differ from a fatal one in their body only

What callers saw: nothing new. The specs showed that others of the same route and account, and a popular one, are served; that the body alone tells requests apart was shown for the fingerprint only.

Cause: a gap of the tests; the stand-in crashed under a query, whatever the body.

Evidence: the stand-in crashes under query and body; 20 requests with the fatal query and other bodies get status 200, as unsafe requests and as streams that may be resumed. The other four specs of the table weren't run again for this commit, only vetted.

Why it works: the fingerprint has the whole body.

--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -57,8 +57,9 @@
 	// FatalPart is the ID of a part of prompts; an engine crashes when it begins to answer a request
 	// with it. It closes all connections, and accepts none for crashTime. Empty means no part.
 	FatalPart string
-	// FatalQuery is the query of the requests that crash the stand-in when it begins to run them; empty means none.
-	FatalQuery string
+	// FatalQuery and FatalBody are the query and the body of the requests that crash the stand-in when it begins to run
+	// them; an empty query means none.
+	FatalQuery, FatalBody string
 	// Flaw is what is wrong with the version that the stand-in runs.
 	Flaw Flaw
 }
@@ -282,7 +283,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	if s.Profile.FatalQuery != "" && r.URL.RawQuery == s.Profile.FatalQuery {
+	if s.Profile.FatalQuery != "" && r.URL.RawQuery == s.Profile.FatalQuery && string(body) == s.Profile.FatalBody {
 		s.crash()
 		return
 	}
--- a/test/entry/fatal_request_test.go
+++ b/test/entry/fatal_request_test.go
@@ -25,10 +25,13 @@
 // sameAttempt returns an attempt that is the same request as all others with the route and the query.
 func sameAttempt(route, query string) *attempt {
 	a := newAttempt(route, 1)
-	a.query, a.body = query, []byte("the body of "+query)
+	a.query, a.body = query, []byte(sameBody(query))
 	return a
 }
 
+// sameBody returns the body of all attempts of sameAttempt with the query.
+func sameBody(query string) string { return "the body of " + query }
+
 // replaceServers replaces the servers of a service by three with the profile.
 func (f *fleet) replaceServers(name string, profile service.Profile) {
 	for _, s := range f.serversOf(name) {
@@ -45,7 +48,7 @@
 	var times []time.Time
 	for _, s := range f.servers {
 		for _, e := range s.Journal() {
-			if strings.HasSuffix(e.URI, "?"+fatalQuery) && !excused(e.Host, e.At) {
+			if strings.HasSuffix(e.URI, "?"+fatalQuery) && e.Body == service.Hash([]byte(sameBody(fatalQuery))) && !excused(e.Host, e.At) {
 				times = append(times, e.At)
 			}
 		}
@@ -98,7 +101,7 @@
 	DescribeTable("BUDGET: sends a request that has crashed three servers to no others, and serves the same requests as before", func(route, name string, disturb func(*fleet) []*daemon) {
 		f := newFleet(4)
 		profile := f.serversOf(name)[0].Profile
-		profile.FatalQuery = fatalQuery
+		profile.FatalQuery, profile.FatalBody = fatalQuery, sameBody(fatalQuery)
 		f.replaceServers(name, profile)
 		time.Sleep(propagationBound)
 		ctx, cancel := specContext()
@@ -118,7 +121,17 @@
 		cancel()
 		group.Wait()
 		attempts := l.end()
-		f.checkRules(slices.Concat(attempts, popular, fatal))
+		var otherBodies []*attempt
+		for n := range 20 {
+			a := sameAttempt(route, fatalQuery)
+			a.body = fmt.Appendf(nil, "body %d", n)
+			a.send(context.Background(), f.daemons[n%len(f.daemons)])
+			otherBodies = append(otherBodies, a)
+		}
+		f.checkRules(slices.Concat(attempts, popular, fatal, otherBodies))
+		for _, a := range otherBodies {
+			Expect(a.status).To(Equal(200), "a request that differs from the fatal one in its body only")
+		}
 		f.checkFatalAttempts(isHost(excused...))
 		all := f.fatalAttempts(isHost())
 		for kind, sound := range map[string][]*attempt{"other": attempts, "popular": popular} {
--- a/test/entry/incident_soak_test.go
+++ b/test/entry/incident_soak_test.go
@@ -22,7 +22,7 @@
 		perSecond := []float64{0.4, 1, 2.5}[random.IntN(3)]
 		f := newFleet(6)
 		profile := f.serversOf("desk")[0].Profile
-		profile.FatalQuery = fatalQuery
+		profile.FatalQuery, profile.FatalBody = fatalQuery, sameBody(fatalQuery)
 		f.replaceServers("desk", profile)
 		time.Sleep(propagationBound)
 		s := &soak{fleet: f, random: random, faulty: map[*daemon]bool{}, disturbances: map[*daemon][]disturbance{}, load: f.startLoad()}
